--- /dev/null
+++ b/whintrail/__init__.py
@@ -0,0 +1,1 @@
+"""whintrail: a query gateway for engines with limited memory."""
--- /dev/null
+++ b/whintrail/brain.py
@@ -0,0 +1,636 @@
+"""Every decision of the gateway. Types, events and actions are in whintrail/interface.py.
+
+Pure: settings, a seed and events with their time in, actions out. The ordinary path is that of
+docs/design.md: label, gate heavy queries under pressure, draw an engine against reported load.
+"""
+
+import math
+from collections import deque
+from heapq import heappop, heappush
+from random import Random
+
+from whintrail import interface as api
+
+# --- The design's own figures.
+BAR = 4.0  # heavy above this many times the class's running mean estimate
+LEARN_QUERIES = 20  # until a class has seen so many, all of it counts as light
+MEAN_MEMORY = 500  # the running mean looks back over about so many queries
+# --- Pressure: what makes the heavy bound bind.
+PRESSED_STRETCH = 2.5  # latency this many times the class's best: threads clearly share cores
+BUSY_UTILISATION = 0.95  # cores all but full
+BUSY_HELD = 1.5  # queries held per core: more run than there are cores
+BUSY_MEMORY = 0.95  # share of memory granted: the next grant spills or waits
+FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
+# --- The draw.
+LOAD_FLOOR = 0.1  # keeps an idle engine's weight finite, so that it does not draw everything
+DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
+SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
+REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
+# --- Health.
+DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
+SILENT_US = 500_000  # least time without any sign of life before an engine is called silent
+PATIENCE = 6.0  # times the expected time of an attempt before its silence tells against the engine
+NOTES_MISSED = 3.2  # or so many progress notes that did not come
+ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one error, and how fast its memory fades
+STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
+PROBES_PER_QUERY = 0.35  # probing stays well under one a query, which is what probes are priced by
+PROBE_US, PROBE_MOST_US = 400_000, 3_000_000  # shortest and longest time between probes of an engine
+# --- Further attempts.
+RUNAWAY = 4.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
+NOTE_FLOOR = 0.02  # least share done that a projection trusts
+OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
+# --- Cold engines and time.
+SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
+SWEEP_US = 50_000  # housekeeping pace
+LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
+GRANT_QUANTILE = 0.85  # memory grants cover this share of what queries turned out to need
+
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
+MAY_STILL_RUN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.UNKNOWN)
+SWEEP = "sweep"
+
+
+class Engine:
+    """What this gateway knows of one engine."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.cores = self.weight = 1.0
+        self.kind = self.zone = ""
+        self.cell = 0
+        self.state = api.EngineState.GONE
+        self.cold_until = 0
+        self.cold_sent: deque[tuple[int, float]] = deque()  # (time, usual work) sent while cold
+        self.running: dict[tuple[int, int], Attempt] = {}
+        self.threads = self.heavy_threads = 0
+        self.report: api.LoadReport | None = None
+        self.load, self.report_at = 0.0, -REPORT_AGE_US
+        self.since, self.since_at = 0.0, 0
+        self.stretch, self.errors, self.errors_at = 1.0, 0.0, 0
+        self.fails, self.down_until, self.alive_at, self.full_at = 0, 0, 0, -FULL_REST_US
+        self.probe_at, self.probing = 0, False
+
+    def sent_since(self, now: int) -> float:
+        self.since *= math.exp((self.since_at - now) / SINCE_US)
+        self.since_at = now
+        return self.since
+
+    def error_rate(self, now: int) -> float:
+        return self.errors * math.exp((self.errors_at - now) / ERROR_FADE_US)
+
+    def heard(self, now: int, report: api.LoadReport | None) -> None:
+        if report is None:
+            return
+        held = None if report.held is None else report.held / self.cores
+        load = report.utilisation if report.utilisation is not None else held
+        if load is not None:
+            self.report, self.load, self.report_at = report, max(0.0, load), now
+
+    def pressed(self, now: int) -> bool:
+        """Latency well above best, a busy report or a full refusal."""
+        if self.stretch > PRESSED_STRETCH or now - self.full_at < FULL_REST_US:
+            return True
+        report = self.report
+        if report is None or now - self.report_at > REPORT_AGE_US:
+            return False
+        return (
+            (report.utilisation or 0) > BUSY_UTILISATION
+            or (report.held or 0) > BUSY_HELD * self.cores
+            or (report.memory_queue or 0) >= 1
+            or (report.memory_share or 0) > BUSY_MEMORY
+        )
+
+
+class ClassState:
+    """Running figures of one class."""
+
+    def __init__(self, settings: api.QueryClass) -> None:
+        self.settings = settings
+        self.seen = self.costs = self.memories = 0
+        self.cost_us = self.memory_mb = 0.0  # running mean estimates
+        self.best, self.usual = 1.0, 1.5  # elapsed time against the estimate: at best, and as a rule
+        self.grant = 1.25  # memory to ask for against the estimate
+        self.told_work = 0.0  # work that answers told against the estimate; 0: never told
+
+    def work_us(self) -> float:
+        """The usual work of the class; 0 while nothing is known."""
+        return self.cost_us * (self.told_work or 1.0)
+
+
+class Attempt:
+    """One send of a query."""
+
+    def __init__(self, number: int, engine: Engine, now: int, expected_us: float) -> None:
+        self.number, self.engine, self.sent_at, self.expected_us = number, engine, now, expected_us
+        self.outcome: api.Outcome | None = None
+        self.cancelled = False
+        self.share = 0.0
+        self.heavy = False
+
+
+class Query:
+    """A query from its arrival until it is answered and no attempt of it is out."""
+
+    def __init__(self, event: api.QueryArrived, cls: ClassState, now: int) -> None:
+        self.id, self.cls, self.key, self.tables = event.query, cls, event.key, event.tables
+        self.cost_us, self.memory_mb, self.give_up = event.cost_us, event.memory_mb, event.give_up_us
+        self.threads = max(1, cls.settings.threads)
+        span = (event.cost_us if event.cost_us is not None else cls.cost_us) / self.threads
+        self.span_us = span or cls.settings.aim_us / 4
+        self.aim_at = now + cls.settings.aim_us + cls.settings.aim_stretch * span
+        self.due = min(self.aim_at, event.give_up_us)
+        self.heavy = self.done = False
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.terms: tuple[float, int] = (0, 1)  # the engine's choice, the usual priority
+
+    def exposed(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        return next((a for a in self.attempts if a.outcome not in NEVER_RAN), None)
+
+
+class Line:
+    """Queries of one key in the order taken, and how long the key must rest."""
+
+    def __init__(self) -> None:
+        self.queue: deque[Query] = deque()
+        self.rest_until = 0
+
+
+class Gateway:
+    """One instance of the query gateway."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.now = now
+        self.actions: list[api.Action] = []
+        self.classes = {c.name: ClassState(c) for c in settings.classes}
+        self.engines: dict[str, Engine] = {}
+        self.queries: dict[int, Query] = {}
+        self.lanes: dict[tuple[str, bool], list[tuple[float, int, Query]]] = {}
+        self.lines: dict[str, Line] = {}
+        self.resting: list[tuple[int, str]] = []
+        self.last_calls: list[tuple[int, int]] = []
+        self.taken: deque[int] = deque()
+        self.further: deque[int] = deque()
+        self.stretch = 1.0  # the fleet's usual latency against the best
+        self.mean_load = 0.0
+
+    def start(self) -> list[api.Action]:
+        self.actions = [api.SetTimer(SWEEP, self.now + SWEEP_US)]
+        if self.settings.list_on_request:
+            self.actions.append(api.WatchList(True))
+        return self.actions
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.now, self.actions = now, []
+        match event:
+            case api.QueryArrived():
+                self._arrived(event)
+            case api.AttemptEnded():
+                self._ended(event)
+            case api.AttemptNote():
+                self._noted(event)
+            case api.ProbeEnded():
+                self._probed(event)
+            case api.TimerFired(token) if token == SWEEP:
+                self._sweep()
+            case api.ClientLeft(query):
+                if query in self.queries:
+                    self._close(self.queries[query])
+            case api.EngineList():
+                self._listed(event)
+            case api.AnswerStarted(query, _, _) if query in self.queries:
+                self.queries[query].give_up = max(self.queries[query].give_up, now + 10**12)
+        return self.actions
+
+    # --- Arrival, label and the ordinary path.
+
+    def _arrived(self, event: api.QueryArrived) -> None:
+        cls = self.classes.get(event.class_name)
+        if cls is None or event.query in self.queries:
+            if cls is None:
+                self.actions.append(api.Fail(event.query))
+            return
+        query = Query(event, cls, self.now)
+        query.heavy = self._label(query)
+        self.queries[query.id] = query
+        self.taken.append(self.now)
+        heappush(self.last_calls, (query.give_up - LAST_CALL_US, query.id))
+        if cls.settings.in_order and query.key is not None:
+            self.lines.setdefault(query.key, Line()).queue.append(query)
+        self._place(query)
+
+    def _label(self, query: Query) -> bool:
+        """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
+        cls, heavy = query.cls, False
+        if cls.seen >= LEARN_QUERIES:
+            heavy = query.cost_us is not None and query.cost_us > BAR * cls.cost_us
+            heavy = heavy or (query.memory_mb is not None and query.memory_mb > BAR * cls.memory_mb)
+        cls.seen += 1
+        if query.cost_us is not None:
+            cls.costs += 1
+            cls.cost_us += (query.cost_us - cls.cost_us) / min(cls.costs, MEAN_MEMORY)
+        if query.memory_mb is not None:
+            cls.memories += 1
+            cls.memory_mb += (query.memory_mb - cls.memory_mb) / min(cls.memories, MEAN_MEMORY)
+        return heavy
+
+    def _place(self, query: Query) -> bool:
+        """Send the query, end it, or hold it (False)."""
+        if query.done or not self._query_may(query):
+            if not query.done and not query.out and self._turn(query):
+                self._end(query)
+            return query.done or query.out > 0
+        ready = [e for e in self.engines.values() if self._engine_may(query, e)]
+        healthy = any(e.fails == 0 for e in ready)
+        usable = [e for e in ready if self._usable(e, healthy)]
+        tried = [a.engine for a in query.attempts]
+        usable = [e for e in usable if e not in tried] or usable
+        if query.heavy:
+            usable = [e for e in usable if self._has_room(e, query.threads)]
+        if not usable or not self._turn(query):
+            if self._turn(query):
+                lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
+                heappush(lane, (query.due, query.id, query))
+            return False
+        self._send(query, self._draw(usable))
+        return True
+
+    def _has_room(self, engine: Engine, threads: int) -> bool:
+        bound = engine.cores / max(1, self.settings.fleet_size)
+        used = engine.heavy_threads
+        return used == 0 or used + threads <= bound or not engine.pressed(self.now)
+
+    def _usable(self, engine: Engine, healthy: bool) -> bool:
+        """Failed engines come back one query at a time; full ones rest a moment."""
+        if engine.fails:
+            return self.now >= engine.down_until and (not healthy or not engine.running)
+        return self.now - engine.full_at >= FULL_REST_US
+
+    def _load(self, engine: Engine) -> float:
+        known = self.now - engine.report_at <= REPORT_AGE_US
+        return (engine.load if known else self.mean_load) + engine.sent_since(self.now)
+
+    def _draw(self, engines: list[Engine]) -> Engine:
+        """At random, weighted against reported load and our sends since."""
+        weights = []
+        for e in engines:
+            weight = e.cores * (LOAD_FLOOR + self._load(e)) ** -DRAW_POWER
+            weight *= max(0.02, 1 - e.error_rate(self.now)) ** 4
+            weight *= min(1.0, self.stretch / e.stretch) ** 2
+            weights.append(weight * (0.1 if e.fails else 1.0))
+        return self.random.choices(engines, weights)[0]
+
+    def _expected_us(self, query: Query) -> float:
+        return query.span_us * query.cls.best * self.stretch
+
+    # --- The gate that every send passes: the rules.
+
+    def _query_may(self, query: Query) -> bool:
+        """Rules 1, 2 and 7, as far as no engine is concerned."""
+        settings, cls = self.settings, query.cls.settings
+        if query.done or self.now >= query.give_up:
+            return False
+        if not query.attempts:
+            return True
+        if settings.max_attempts is not None and len(query.attempts) >= settings.max_attempts:
+            return False
+        if query.out and not settings.second_copies:
+            return False
+        exposed = query.exposed()
+        if exposed and cls.effect is api.Effect.ONCE:
+            return False
+        if exposed and cls.effect is api.Effect.BY_KEY and self.now >= exposed.sent_at + cls.window_us:
+            return False
+        return self._budget_left()
+
+    def _budget_left(self) -> bool:
+        """Rule 7, and our own limit on further attempts where none is stated."""
+        s = self.settings
+        share, free, window = OWN_SHARE, float(OWN_FREE), OWN_WINDOW_US
+        if s.budget_share is not None:
+            share, free, window = s.budget_share, s.budget_free, s.budget_window_us
+        while self.taken and self.taken[0] <= self.now - window + s.tick_us:
+            self.taken.popleft()
+        while self.further and self.further[0] < self.now - window - s.tick_us:
+            self.further.popleft()
+        return len(self.further) + 1 <= free + share * len(self.taken)
+
+    def _engine_may(self, query: Query, engine: Engine) -> bool:
+        """Rules 2, 3, 4 and 6 for this engine."""
+        cls = query.cls.settings
+        if engine.state is not api.EngineState.READY:
+            return False
+        if cls.zones is not None and engine.zone not in cls.zones:
+            return False
+        if cls.kinds is not None and engine.kind not in cls.kinds:
+            return False
+        exposed = query.exposed() if cls.effect is api.Effect.BY_KEY else None
+        if exposed and cls.group is not api.DedupGroup.ALL:
+            before = exposed.engine
+            if engine.zone != before.zone or (
+                cls.group is api.DedupGroup.CELL and engine.cell != before.cell
+            ):
+                return False
+        return self.now >= engine.cold_until or self._cold_room(query, engine)
+
+    def _cold_room(self, query: Query, engine: Engine) -> bool:
+        """Rule 4: our share of a safe part of what a cold engine bears, by usual work, bursts included."""
+        s = self.settings
+        if s.tip_multiple is None:
+            return True
+        while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
+            engine.cold_sent.popleft()
+        budget = SAFE_PART * s.tip_multiple * s.start_capacity * engine.cores * s.tip_after_us
+        budget /= max(1, s.fleet_size)
+        work = query.cls.work_us() or budget
+        return sum(w for _, w in engine.cold_sent) + work <= budget
+
+    def _line(self, query: Query) -> Line | None:
+        return self.lines.get(query.key) if query.cls.settings.in_order and query.key is not None else None
+
+    def _turn(self, query: Query) -> bool:
+        """Rule 5: the query heads its key's line, and the key has rested."""
+        line = self._line(query)
+        if line is None:
+            return True
+        return line.queue[0] is query and (bool(query.attempts) or self.now >= line.rest_until)
+
+    def _send(self, query: Query, engine: Engine) -> None:
+        """The only place that sends; it asks the gate again, whoever calls."""
+        if not (self._query_may(query) and self._engine_may(query, engine) and self._turn(query)):
+            return
+        terms = self._terms(query, engine)
+        if terms != query.terms:
+            query.terms = terms
+            self.actions.append(api.SetTerms(query.id, *terms))
+        self.actions.append(api.Send(query.id, engine.address, 0))
+        attempt = Attempt(len(query.attempts), engine, self.now, self._expected_us(query))
+        attempt.heavy = query.heavy
+        if query.attempts:
+            self.further.append(self.now)
+        query.attempts.append(attempt)
+        query.out += 1
+        engine.running[query.id, attempt.number] = attempt
+        engine.threads += query.threads
+        engine.heavy_threads += query.threads if query.heavy else 0
+        engine.since = engine.sent_since(self.now) + query.threads / engine.cores
+        if self.now < engine.cold_until:
+            engine.cold_sent.append((self.now, query.cls.work_us()))
+
+    def _terms(self, query: Query, engine: Engine) -> tuple[float, int]:
+        s, grant = self.settings, 0.0
+        if s.grants_heeded and s.tells_cost and query.memory_mb is not None:
+            most = s.kind_memory_mb.get(engine.kind, math.inf) * s.max_grant_share
+            grant = round(min(most, query.memory_mb * query.cls.grant), 1)
+        return grant, self._priority(query) if s.priorities_heeded else query.terms[1]
+
+    def _priority(self, query: Query) -> int:
+        """Short classes first, heavy and late queries last: little waits, and what is late earns little."""
+        if self.now > query.aim_at:
+            return 0
+        mean = sum(c.cost_us / max(1, c.settings.threads) * c.seen for c in self.classes.values())
+        mean /= max(1, sum(c.seen for c in self.classes.values()))
+        short = query.cls.cost_us / query.threads < mean / 2
+        return (3 if short else 2) - (1 if query.heavy else 0)
+
+    # --- Ends.
+
+    def _end(self, query: Query) -> None:
+        """Our final answer: a refusal where a retry does no harm for certain, else a failure."""
+        cls, exposed = query.cls.settings, query.exposed()
+        harmless = exposed is None or cls.effect is api.Effect.REPEATABLE
+        if exposed and cls.effect is api.Effect.BY_KEY and cls.group is api.DedupGroup.ALL:
+            harmless = self.now < exposed.sent_at + cls.window_us
+        if harmless:
+            pause = self.settings.max_retry_after_us if self.settings.retry_after else None
+            self.actions.append(api.Refuse(query.id, pause or None))
+        else:
+            self.actions.append(api.Fail(query.id))
+        self._close(query)
+
+    def _close(self, query: Query) -> None:
+        """The query is over; nobody waits for what still runs."""
+        query.done = True
+        for attempt in query.attempts:
+            if attempt.outcome is None:
+                self._cancel(query, attempt)
+        self._forget(query)
+
+    def _cancel(self, query: Query, attempt: Attempt) -> None:
+        if self.settings.cancel_allowed and not attempt.cancelled:
+            attempt.cancelled = True
+            self.actions.append(api.CancelAttempt(query.id, attempt.number))
+
+    def _forget(self, query: Query) -> None:
+        if not query.done or query.out:
+            return
+        self.queries.pop(query.id, None)
+        line = self._line(query)
+        if line is not None and query.key is not None and query in line.queue:
+            line.queue.remove(query)
+            heappush(self.resting, (line.rest_until, query.key))
+            self._next_in_line(line)
+
+    def _next_in_line(self, line: Line) -> None:
+        while line.queue and line.queue[0].done and not line.queue[0].out:
+            line.queue.popleft()
+        if line.queue and not line.queue[0].attempts and self.now >= line.rest_until:
+            self._place(line.queue[0])
+
+    # --- Outcomes, notes and probes.
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        query = self.queries.get(event.query)
+        if query is None or event.attempt >= len(query.attempts):
+            return
+        attempt = query.attempts[event.attempt]
+        if attempt.outcome is not None:
+            return
+        engine, attempt.outcome = attempt.engine, event.outcome
+        query.out -= 1
+        engine.running.pop((query.id, attempt.number), None)
+        engine.threads -= query.threads
+        engine.heavy_threads -= query.threads if attempt.heavy else 0
+        engine.heard(self.now, event.report)
+        self._judge(query, attempt, event)
+        if event.outcome in MAY_STILL_RUN and (line := self._line(query)):
+            line.rest_until = self.now + self.settings.order_settle_us
+        if event.final or query.done:
+            self._close(query)
+        elif not query.out:
+            self._place(query)
+        self._release()
+
+    def _judge(self, query: Query, attempt: Attempt, event: api.AttemptEnded) -> None:
+        """What an outcome tells of the engine and of the class."""
+        engine, outcome, cls = attempt.engine, event.outcome, query.cls
+        if outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
+            self._down(engine)
+        elif outcome is api.Outcome.FULL:
+            engine.full_at = engine.alive_at = self.now
+        elif outcome in (api.Outcome.OK, api.Outcome.ERROR):
+            engine.alive_at = self.now
+            error = 1.0 if outcome is api.Outcome.ERROR else 0.0
+            engine.errors = engine.error_rate(self.now)
+            engine.errors += ERROR_GAIN * (error - engine.errors)
+            engine.errors_at = self.now
+        if outcome is not api.Outcome.OK:
+            return
+        engine.fails = 0
+        ratio = event.elapsed_us / max(query.span_us, 5_000.0)
+        cls.best *= 0.97 if ratio < cls.best else 1.005
+        cls.usual += 0.05 * (min(ratio, 10.0) - cls.usual)
+        engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
+        if event.work_ms and query.cost_us:
+            told = event.work_ms * 1000 / query.cost_us
+            cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
+        if event.memory_mb and query.memory_mb:
+            over = event.memory_mb > query.memory_mb * cls.grant
+            cls.grant *= 1 + 0.05 * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
+
+    def _down(self, engine: Engine) -> None:
+        """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
+        if self.now >= engine.down_until:
+            engine.fails += 1
+            engine.down_until = self.now + min(DOWN_MOST_US, DOWN_US << min(engine.fails - 1, 4))
+        for query_id, number in list(engine.running):
+            query = self.queries[query_id]
+            if query.cls.settings.effect is api.Effect.REPEATABLE and not query.done:
+                self._elsewhere(query, query.attempts[number])
+
+    def _elsewhere(self, query: Query, attempt: Attempt) -> None:
+        """Give up one attempt for another; the result of the cancelled one brings the next."""
+        s = self.settings
+        room = s.max_attempts is None or len(query.attempts) < s.max_attempts
+        if s.cancel_allowed and room and self._budget_left():
+            self._cancel(query, attempt)
+
+    def _noted(self, event: api.AttemptNote) -> None:
+        query = self.queries.get(event.query)
+        if query is None or query.done or event.attempt >= len(query.attempts):
+            return
+        attempt = query.attempts[event.attempt]
+        if attempt.outcome is not None or attempt.cancelled or event.topic is not api.Topic.PROGRESS:
+            return
+        if event.value <= attempt.share:
+            return
+        attempt.share, attempt.engine.alive_at = event.value, self.now
+        age = self.now - attempt.sent_at
+        total = age / max(event.value, NOTE_FLOOR)
+        finish, fresh = attempt.sent_at + total, self._expected_us(query)
+        if query.cls.settings.effect is not api.Effect.REPEATABLE or finish <= query.aim_at:
+            return
+        if total > RUNAWAY * fresh and self.now + fresh < min(finish, query.give_up):
+            self._elsewhere(query, attempt)
+
+    def _probed(self, event: api.ProbeEnded) -> None:
+        engine = self.engines.get(event.engine)
+        if engine is None:
+            return
+        engine.probing = False
+        engine.heard(self.now, event.report)
+        if event.outcome is api.Outcome.CONNECT_FAILED and not engine.fails:
+            self._down(engine)
+        self._release()
+
+    # --- The engine list.
+
+    def _listed(self, event: api.EngineList) -> None:
+        if event.kind is api.ListKind.FAILED:
+            if self.settings.list_on_request:
+                self.actions.append(api.WatchList(True))
+            return
+        if event.kind is not api.ListKind.DELTA:
+            named = {entry.engine: True for entry in event.entries}
+            for address, engine in self.engines.items():
+                if address not in named:
+                    engine.state = api.EngineState.GONE
+        for entry in event.entries:
+            self._entry(entry)
+        for address in [
+            a for a, e in self.engines.items() if e.state is api.EngineState.GONE and not e.running
+        ]:
+            del self.engines[address]
+        self._release()
+
+    def _entry(self, entry: api.EngineEntry) -> None:
+        engine = self.engines.setdefault(entry.engine, Engine(entry.engine))
+        engine.kind, engine.zone, engine.cell = entry.kind, entry.zone, entry.cell
+        engine.weight, engine.state = entry.weight, entry.state
+        engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
+        if entry.started_us is not None:
+            cold_until = entry.started_us + self.settings.cold_us
+            if cold_until > engine.cold_until and cold_until > self.now:
+                engine.fails, engine.stretch, engine.errors = 0, 1.0, 0.0
+            engine.cold_until = max(engine.cold_until, cold_until)
+
+    # --- Housekeeping.
+
+    def _sweep(self) -> None:
+        self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
+        while self.last_calls and self.last_calls[0][0] <= self.now:
+            query = self.queries.get(heappop(self.last_calls)[1])
+            if query is not None and not query.done and self.now >= query.give_up - LAST_CALL_US:
+                self._end(query)
+        while self.resting and self.resting[0][0] <= self.now:
+            key = heappop(self.resting)[1]
+            line = self.lines.get(key)
+            if line is not None:
+                self._next_in_line(line)
+                if not line.queue and self.now >= line.rest_until:
+                    del self.lines[key]
+        listed = [e for e in self.engines.values() if e.state is api.EngineState.READY]
+        for engine in self.engines.values():
+            engine.stretch += (1.0 - engine.stretch) * SWEEP_US / STRETCH_FADE_US
+            if engine.running and self._silent(engine):
+                self._down(engine)
+        if listed:
+            self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
+            loads = [e.load for e in listed if self.now - e.report_at <= REPORT_AGE_US]
+            self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            self._probe(listed)
+        self._release()
+
+    def _silent(self, engine: Engine) -> bool:
+        """No sign of life for much longer than what runs there should need, or than its notes are apart."""
+        pace = self.settings.progress_us * NOTES_MISSED if self.settings.progress_us else math.inf
+        for attempt in engine.running.values():
+            waited = self.now - max(attempt.sent_at, engine.alive_at)
+            if waited > max(SILENT_US, min(pace, PATIENCE * attempt.expected_us)):
+                return True
+        return False
+
+    def _probe(self, listed: list[Engine]) -> None:
+        """Where only probes bring reports, all engines in turn; elsewhere just those under suspicion."""
+        s = self.settings
+        if not s.probes_allowed:
+            return
+        span = min(OWN_WINDOW_US, s.budget_window_us or OWN_WINDOW_US)
+        while self.taken and self.taken[0] <= self.now - span:
+            self.taken.popleft()
+        rate = len(self.taken) * PROBES_PER_QUERY / span
+        pause = min(PROBE_MOST_US, max(PROBE_US, len(listed) / rate if rate else PROBE_MOST_US))
+        for engine in listed:
+            wanted = s.reports_by is api.ReportsBy.PROBES or engine.fails
+            if wanted and not engine.probing and self.now - engine.probe_at >= pause:
+                engine.probe_at, engine.probing = self.now, True
+                self.actions.append(api.SendProbe(engine.address))
+
+    def _release(self) -> None:
+        """Held queries leave by deadline, and are refused once they cannot finish in time."""
+        for lane in sorted((lane for lane in self.lanes.values() if lane), key=lambda held: held[0][0]):
+            while lane:
+                query = lane[0][2]
+                horizon = query.due if query.heavy else query.give_up
+                if query.done:
+                    heappop(lane)
+                elif self.now + self._expected_us(query) > horizon:
+                    heappop(lane)
+                    self._end(query)
+                else:
+                    heappop(lane)
+                    if not self._place(query):  # held again
+                        break
--- /dev/null
+++ b/whintrail/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that puts the decision module on the bench's wire."""
