--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -12,7 +12,8 @@
 from whintrail import interface as api
 
 # --- The design's own figures.
-BAR = 4.0  # heavy above this many times the class's running mean estimate
+BAR = 0.25  # heavy above this many times the class's running mean estimate, and above SHORT
+SHORT = 1.0  # below this many times the mean over all classes a query is too short to be worth holding
 LEARN_QUERIES = 20  # until a class has seen so many, all of it counts as light
 MEAN_MEMORY = 500  # the running mean looks back over about so many queries
 # --- Pressure: what makes the heavy bound bind.
@@ -123,7 +124,7 @@
     def __init__(self, number: int, engine: Engine, now: int, expected_us: float) -> None:
         self.number, self.engine, self.sent_at, self.expected_us = number, engine, now, expected_us
         self.outcome: api.Outcome | None = None
-        self.cancelled = False
+        self.cancelled = self.moving = False
         self.share = 0.0
         self.heavy = False
 
@@ -174,6 +175,7 @@
         self.last_calls: list[tuple[int, int]] = []
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
+        self.moving = 0  # attempts cancelled so that others take their place
         self.stretch = 1.0  # the fleet's usual latency against the best
         self.mean_load = 0.0
 
@@ -228,6 +230,7 @@
         if cls.seen >= LEARN_QUERIES:
             heavy = query.cost_us is not None and query.cost_us > BAR * cls.cost_us
             heavy = heavy or (query.memory_mb is not None and query.memory_mb > BAR * cls.memory_mb)
+            heavy = heavy and query.span_us > SHORT * self._mean_span_us()
         cls.seen += 1
         if query.cost_us is not None:
             cls.costs += 1
@@ -237,6 +240,11 @@
             cls.memory_mb += (query.memory_mb - cls.memory_mb) / min(cls.memories, MEAN_MEMORY)
         return heavy
 
+    def _mean_span_us(self) -> float:
+        """Mean cost per thread over all classes."""
+        total = sum(c.cost_us / max(1, c.settings.threads) * c.seen for c in self.classes.values())
+        return total / max(1, sum(c.seen for c in self.classes.values()))
+
     def _place(self, query: Query) -> bool:
         """Send the query, end it, or hold it (False)."""
         if query.done or not self._query_may(query):
@@ -251,7 +259,9 @@
         if query.heavy:
             usable = [e for e in usable if self._has_room(e, query.threads)]
         if not usable or not self._turn(query):
-            if self._turn(query):
+            if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
+                self._end(query)
+            elif self._turn(query):
                 lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
                 heappush(lane, (query.due, query.id, query))
             return False
@@ -316,7 +326,7 @@
             self.taken.popleft()
         while self.further and self.further[0] < self.now - window - s.tick_us:
             self.further.popleft()
-        return len(self.further) + 1 <= free + share * len(self.taken)
+        return len(self.further) + self.moving + 1 <= free + share * len(self.taken)
 
     def _engine_may(self, query: Query, engine: Engine) -> bool:
         """Rules 2, 3, 4 and 6 for this engine."""
@@ -391,9 +401,7 @@
         """Short classes first, heavy and late queries last: little waits, and what is late earns little."""
         if self.now > query.aim_at:
             return 0
-        mean = sum(c.cost_us / max(1, c.settings.threads) * c.seen for c in self.classes.values())
-        mean /= max(1, sum(c.seen for c in self.classes.values()))
-        short = query.cls.cost_us / query.threads < mean / 2
+        short = query.cls.cost_us / query.threads < self._mean_span_us() / 2
         return (3 if short else 2) - (1 if query.heavy else 0)
 
     # --- Ends.
@@ -451,6 +459,7 @@
             return
         engine, attempt.outcome = attempt.engine, event.outcome
         query.out -= 1
+        self.moving -= attempt.moving
         engine.running.pop((query.id, attempt.number), None)
         engine.threads -= query.threads
         engine.heavy_threads -= query.threads if attempt.heavy else 0
@@ -505,8 +514,10 @@
         """Give up one attempt for another; the result of the cancelled one brings the next."""
         s = self.settings
         room = s.max_attempts is None or len(query.attempts) < s.max_attempts
-        if s.cancel_allowed and room and self._budget_left():
+        if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
+            attempt.moving = True
+            self.moving += 1
 
     def _noted(self, event: api.AttemptNote) -> None:
         query = self.queries.get(event.query)
