Learn this gateway's share, count own sends as pressure, and brim light queries

Cause: engines full of light queries never left a jam; pressure was noticed only after it had built.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -22,6 +22,8 @@
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
 BUSY_MEMORY = 0.95  # share of memory granted: the next grant spills or waits
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
+BRIM = 1.5  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
+SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
 # --- The draw.
 LOAD_FLOOR = 0.1  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
@@ -66,6 +68,7 @@
         self.threads = self.heavy_threads = 0
         self.report: api.LoadReport | None = None
         self.load, self.report_at = 0.0, -REPORT_AGE_US
+        self.busy_at = BUSY_HELD
         self.since, self.since_at = 0.0, 0
         self.stretch, self.errors, self.errors_at = 1.0, 0.0, 0
         self.fails, self.down_until, self.alive_at, self.full_at = 0, 0, 0, -FULL_REST_US
@@ -86,6 +89,7 @@
         load = report.utilisation if report.utilisation is not None else held
         if load is not None:
             self.report, self.load, self.report_at = report, max(0.0, load), now
+            self.busy_at = BUSY_HELD if report.utilisation is None else BUSY_UTILISATION
 
     def pressed(self, now: int) -> bool:
         """Latency well above best, a busy report or a full refusal."""
@@ -95,8 +99,7 @@
         if report is None or now - self.report_at > REPORT_AGE_US:
             return False
         return (
-            (report.utilisation or 0) > BUSY_UTILISATION
-            or (report.held or 0) > BUSY_HELD * self.cores
+            (report.held or 0) > BUSY_HELD * self.cores
             or (report.memory_queue or 0) >= 1
             or (report.memory_share or 0) > BUSY_MEMORY
         )
@@ -178,6 +181,7 @@
         self.moving = 0  # attempts cancelled so that others take their place
         self.stretch = 1.0  # the fleet's usual latency against the best
         self.mean_load = 0.0
+        self.share = 1.0 / max(1, settings.fleet_size)  # of the fleet's work, this gateway's part
 
     def start(self) -> list[api.Action]:
         self.actions = [api.SetTimer(SWEEP, self.now + SWEEP_US)]
@@ -258,6 +262,8 @@
         usable = [e for e in usable if e not in tried] or usable
         if query.heavy:
             usable = [e for e in usable if self._has_room(e, query.threads)]
+        else:
+            usable = [e for e in usable if not self._brimful(e)]
         if not usable or not self._turn(query):
             if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
                 self._end(query)
@@ -269,9 +275,16 @@
         return True
 
     def _has_room(self, engine: Engine, threads: int) -> bool:
-        bound = engine.cores / max(1, self.settings.fleet_size)
         used = engine.heavy_threads
-        return used == 0 or used + threads <= bound or not engine.pressed(self.now)
+        return used == 0 or used + threads <= engine.cores * self.share or not self._pressed(engine)
+
+    def _brimful(self, engine: Engine) -> bool:
+        """Guards against a jam that even the light queries alone would keep up."""
+        light = engine.threads - engine.heavy_threads
+        return light > max(1.0, BRIM * engine.cores * self.share) and self._pressed(engine)
+
+    def _pressed(self, engine: Engine) -> bool:
+        return engine.pressed(self.now) or self._load(engine) > engine.busy_at
 
     def _usable(self, engine: Engine, healthy: bool) -> bool:
         """Failed engines come back one query at a time; full ones rest a moment."""
@@ -581,6 +594,7 @@
     # --- Housekeeping.
 
     def _sweep(self) -> None:
+        s = self.settings
         self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
         while self.last_calls and self.last_calls[0][0] <= self.now:
             query = self.queries.get(heappop(self.last_calls)[1])
@@ -602,6 +616,11 @@
             self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
             loads = [e.load for e in listed if self.now - e.report_at <= REPORT_AGE_US]
             self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            held = sum(e.cores * e.load for e in listed if self.now - e.report_at <= REPORT_AGE_US)
+            own = sum(e.threads for e in listed if self.now - e.report_at <= REPORT_AGE_US)
+            if held > 0:
+                self.share += SHARE_GAIN * (min(1.0, own / held) - self.share)
+                self.share = max(self.share, 0.5 / max(1, s.fleet_size))
             self._probe(listed)
         self._release()
 
@@ -635,7 +654,7 @@
         for lane in sorted((lane for lane in self.lanes.values() if lane), key=lambda held: held[0][0]):
             while lane:
                 query = lane[0][2]
-                horizon = query.due if query.heavy else query.give_up
+                horizon = query.due
                 if query.done:
                     heappop(lane)
                 elif self.now + self._expected_us(query) > horizon:
