--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -6,6 +6,7 @@
 
 import math
 from collections import deque
+from functools import singledispatchmethod
 from heapq import heappop, heappush
 from random import Random
 
@@ -58,17 +59,14 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self.cores = self.weight = 1.0
-        self.kind = self.zone = ""
-        self.cell = 0
-        self.state = api.EngineState.GONE
-        self.cold_until = 0
+        self.cores, self.kind, self.zone, self.cell = 1.0, "", "", 0
+        self.state, self.cold_until = api.EngineState.GONE, 0
         self.cold_sent: deque[tuple[int, float]] = deque()  # (time, usual work) sent while cold
         self.running: dict[tuple[int, int], Attempt] = {}
         self.threads = self.heavy_threads = 0
         self.report: api.LoadReport | None = None
-        self.load, self.report_at = 0.0, -REPORT_AGE_US
-        self.busy_at = BUSY_HELD
+        self.load: float | None = None  # reported, with the level that counts as busy
+        self.busy_at, self.report_at = BUSY_HELD, -REPORT_AGE_US
         self.since, self.since_at = 0.0, 0
         self.stretch, self.errors, self.errors_at = 1.0, 0.0, 0
         self.fails, self.down_until, self.alive_at, self.full_at = 0, 0, 0, -FULL_REST_US
@@ -85,24 +83,11 @@
     def heard(self, now: int, report: api.LoadReport | None) -> None:
         if report is None:
             return
-        held = None if report.held is None else report.held / self.cores
-        load = report.utilisation if report.utilisation is not None else held
-        if load is not None:
-            self.report, self.load, self.report_at = report, max(0.0, load), now
-            self.busy_at = BUSY_HELD if report.utilisation is None else BUSY_UTILISATION
-
-    def pressed(self, now: int) -> bool:
-        """Latency well above best, a busy report or a full refusal."""
-        if self.stretch > PRESSED_STRETCH or now - self.full_at < FULL_REST_US:
-            return True
-        report = self.report
-        if report is None or now - self.report_at > REPORT_AGE_US:
-            return False
-        return (
-            (report.held or 0) > BUSY_HELD * self.cores
-            or (report.memory_queue or 0) >= 1
-            or (report.memory_share or 0) > BUSY_MEMORY
-        )
+        if report.utilisation is not None:
+            self.load, self.busy_at = report.utilisation, BUSY_UTILISATION
+        elif report.held is not None:
+            self.load, self.busy_at = report.held / self.cores, BUSY_HELD
+        self.report, self.report_at = report, now
 
 
 class ClassState:
@@ -112,7 +97,7 @@
         self.settings = settings
         self.seen = self.costs = self.memories = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
-        self.best, self.usual = 1.0, 1.5  # elapsed time against the estimate: at best, and as a rule
+        self.best = 1.0  # elapsed time against the estimate, at best
         self.grant = 1.25  # memory to ask for against the estimate
         self.told_work = 0.0  # work that answers told against the estimate; 0: never told
 
@@ -124,12 +109,12 @@
 class Attempt:
     """One send of a query."""
 
-    def __init__(self, number: int, engine: Engine, now: int, expected_us: float) -> None:
-        self.number, self.engine, self.sent_at, self.expected_us = number, engine, now, expected_us
+    def __init__(self, number: int, engine: Engine, now: int, expected_us: float, heavy: bool) -> None:
+        self.number, self.engine, self.sent_at = number, engine, now
+        self.expected_us, self.heavy = expected_us, heavy
         self.outcome: api.Outcome | None = None
         self.cancelled = self.moving = False
-        self.share = 0.0
-        self.heavy = False
+        self.share = 0.0  # done, as notes tell
 
 
 class Query:
@@ -139,9 +124,9 @@
         self.id, self.cls, self.key, self.tables = event.query, cls, event.key, event.tables
         self.cost_us, self.memory_mb, self.give_up = event.cost_us, event.memory_mb, event.give_up_us
         self.threads = max(1, cls.settings.threads)
-        span = (event.cost_us if event.cost_us is not None else cls.cost_us) / self.threads
-        self.span_us = span or cls.settings.aim_us / 4
-        self.aim_at = now + cls.settings.aim_us + cls.settings.aim_stretch * span
+        cost = event.cost_us if event.cost_us is not None else cls.cost_us or cls.settings.aim_us / 4
+        self.span_us = cost / self.threads
+        self.aim_at = now + cls.settings.aim_us + cls.settings.aim_stretch * self.span_us
         self.due = min(self.aim_at, event.give_up_us)
         self.heavy = self.done = False
         self.attempts: list[Attempt] = []
@@ -152,13 +137,16 @@
         """The first attempt that may have run."""
         return next((a for a in self.attempts if a.outcome not in NEVER_RAN), None)
 
+    def attempt(self, number: int) -> Attempt | None:
+        """The attempt of that number while it is out."""
+        out = 0 <= number < len(self.attempts) and self.attempts[number].outcome is None
+        return self.attempts[number] if out else None
+
 
-class Line:
+class Line(deque[Query]):
     """Queries of one key in the order taken, and how long the key must rest."""
 
-    def __init__(self) -> None:
-        self.queue: deque[Query] = deque()
-        self.rest_until = 0
+    rest_until = 0
 
 
 class Gateway:
@@ -178,6 +166,7 @@
         self.last_calls: list[tuple[int, int]] = []
         self.taken: deque[int] = deque()
         self.further: deque[int] = deque()
+        self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
         self.moving = 0  # attempts cancelled so that others take their place
         self.stretch = 1.0  # the fleet's usual latency against the best
         self.mean_load = 0.0
@@ -191,33 +180,20 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
-        match event:
-            case api.QueryArrived():
-                self._arrived(event)
-            case api.AttemptEnded():
-                self._ended(event)
-            case api.AttemptNote():
-                self._noted(event)
-            case api.ProbeEnded():
-                self._probed(event)
-            case api.TimerFired(token) if token == SWEEP:
-                self._sweep()
-            case api.ClientLeft(query):
-                if query in self.queries:
-                    self._close(self.queries[query])
-            case api.EngineList():
-                self._listed(event)
-            case api.AnswerStarted(query, _, _) if query in self.queries:
-                self.queries[query].give_up = max(self.queries[query].give_up, now + 10**12)
+        self._on(event)
         return self.actions
 
+    @singledispatchmethod
+    def _on(self, event: api.Event) -> None:
+        """Events of other kinds tell nothing that a decision here needs."""
+
     # --- Arrival, label and the ordinary path.
 
+    @_on.register
     def _arrived(self, event: api.QueryArrived) -> None:
         cls = self.classes.get(event.class_name)
-        if cls is None or event.query in self.queries:
-            if cls is None:
-                self.actions.append(api.Fail(event.query))
+        if cls is None:  # a class that the settings do not name: nothing is known of its effects
+            self.actions.append(api.Fail(event.query))
             return
         query = Query(event, cls, self.now)
         query.heavy = self._label(query)
@@ -225,7 +201,7 @@
         self.taken.append(self.now)
         heappush(self.last_calls, (query.give_up - LAST_CALL_US, query.id))
         if cls.settings.in_order and query.key is not None:
-            self.lines.setdefault(query.key, Line()).queue.append(query)
+            self.lines.setdefault(query.key, Line()).append(query)
         self._place(query)
 
     def _label(self, query: Query) -> bool:
@@ -260,10 +236,7 @@
         usable = [e for e in ready if self._usable(e, healthy)]
         tried = [a.engine for a in query.attempts]
         usable = [e for e in usable if e not in tried] or usable
-        if query.heavy:
-            usable = [e for e in usable if self._has_room(e, query.threads)]
-        else:
-            usable = [e for e in usable if not self._brimful(e)]
+        usable = [e for e in usable if self._has_room(query, e)]
         if not usable or not self._turn(query):
             if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
                 self._end(query)
@@ -274,17 +247,21 @@
         self._send(query, self._draw(usable))
         return True
 
-    def _has_room(self, engine: Engine, threads: int) -> bool:
-        used = engine.heavy_threads
-        return used == 0 or used + threads <= engine.cores * self.share or not self._pressed(engine)
-
-    def _brimful(self, engine: Engine) -> bool:
-        """Guards against a jam that even the light queries alone would keep up."""
-        light = engine.threads - engine.heavy_threads
-        return light > max(1.0, BRIM * engine.cores * self.share) and self._pressed(engine)
+    def _has_room(self, query: Query, engine: Engine) -> bool:
+        """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
+        heavy = engine.heavy_threads
+        used, bound = (heavy, 1.0) if query.heavy else (engine.threads - heavy, BRIM)
+        bound *= engine.cores * self.share
+        return used == 0 or used + query.threads <= bound or not self._pressed(engine)
 
     def _pressed(self, engine: Engine) -> bool:
-        return engine.pressed(self.now) or self._load(engine) > engine.busy_at
+        """Latency well above best, a busy report (our sends since added) or a full refusal."""
+        if engine.stretch > PRESSED_STRETCH or self.now - engine.full_at < FULL_REST_US:
+            return True
+        report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
+        if report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY):
+            return True
+        return self._load(engine) > engine.busy_at
 
     def _usable(self, engine: Engine, healthy: bool) -> bool:
         """Failed engines come back one query at a time; full ones rest a moment."""
@@ -293,8 +270,8 @@
         return self.now - engine.full_at >= FULL_REST_US
 
     def _load(self, engine: Engine) -> float:
-        known = self.now - engine.report_at <= REPORT_AGE_US
-        return (engine.load if known else self.mean_load) + engine.sent_since(self.now)
+        load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
+        return (self.mean_load if load is None else load) + engine.sent_since(self.now)
 
     def _draw(self, engines: list[Engine]) -> Engine:
         """At random, weighted against reported load and our sends since."""
@@ -318,44 +295,38 @@
             return False
         if not query.attempts:
             return True
-        if settings.max_attempts is not None and len(query.attempts) >= settings.max_attempts:
-            return False
-        if query.out and not settings.second_copies:
-            return False
-        exposed = query.exposed()
-        if exposed and cls.effect is api.Effect.ONCE:
-            return False
-        if exposed and cls.effect is api.Effect.BY_KEY and self.now >= exposed.sent_at + cls.window_us:
+        most, exposed = settings.max_attempts, query.exposed()
+        if (most is not None and len(query.attempts) >= most) or (query.out and not settings.second_copies):
             return False
+        if exposed and cls.effect is not api.Effect.REPEATABLE:
+            if cls.effect is api.Effect.ONCE or self.now >= exposed.sent_at + cls.window_us:
+                return False
         return self._budget_left()
 
     def _budget_left(self) -> bool:
         """Rule 7, and our own limit on further attempts where none is stated."""
         s = self.settings
-        share, free, window = OWN_SHARE, float(OWN_FREE), OWN_WINDOW_US
-        if s.budget_share is not None:
-            share, free, window = s.budget_share, s.budget_free, s.budget_window_us
-        while self.taken and self.taken[0] <= self.now - window + s.tick_us:
+        while self.taken and self.taken[0] <= self.now - self.window + s.tick_us:
             self.taken.popleft()
-        while self.further and self.further[0] < self.now - window - s.tick_us:
+        while self.further and self.further[0] < self.now - self.window - s.tick_us:
             self.further.popleft()
-        return len(self.further) + self.moving + 1 <= free + share * len(self.taken)
+        spent, taken = len(self.further) + self.moving + 1, len(self.taken)
+        stated = s.budget_share is None or spent <= s.budget_free + s.budget_share * taken
+        return stated and spent <= OWN_FREE + OWN_SHARE * taken
 
     def _engine_may(self, query: Query, engine: Engine) -> bool:
         """Rules 2, 3, 4 and 6 for this engine."""
         cls = query.cls.settings
         if engine.state is not api.EngineState.READY:
             return False
-        if cls.zones is not None and engine.zone not in cls.zones:
-            return False
-        if cls.kinds is not None and engine.kind not in cls.kinds:
+        placed = cls.zones is None or engine.zone in cls.zones
+        if not placed or (cls.kinds is not None and engine.kind not in cls.kinds):
             return False
         exposed = query.exposed() if cls.effect is api.Effect.BY_KEY else None
         if exposed and cls.group is not api.DedupGroup.ALL:
             before = exposed.engine
-            if engine.zone != before.zone or (
-                cls.group is api.DedupGroup.CELL and engine.cell != before.cell
-            ):
+            by_cell = cls.group is api.DedupGroup.CELL
+            if engine.zone != before.zone or (by_cell and engine.cell != before.cell):
                 return False
         return self.now >= engine.cold_until or self._cold_room(query, engine)
 
@@ -377,9 +348,8 @@
     def _turn(self, query: Query) -> bool:
         """Rule 5: the query heads its key's line, and the key has rested."""
         line = self._line(query)
-        if line is None:
-            return True
-        return line.queue[0] is query and (bool(query.attempts) or self.now >= line.rest_until)
+        rested = line is None or bool(query.attempts) or self.now >= line.rest_until
+        return rested and (not line or line[0] is query)
 
     def _send(self, query: Query, engine: Engine) -> None:
         """The only place that sends; it asks the gate again, whoever calls."""
@@ -390,8 +360,7 @@
             query.terms = terms
             self.actions.append(api.SetTerms(query.id, *terms))
         self.actions.append(api.Send(query.id, engine.address, 0))
-        attempt = Attempt(len(query.attempts), engine, self.now, self._expected_us(query))
-        attempt.heavy = query.heavy
+        attempt = Attempt(len(query.attempts), engine, self.now, self._expected_us(query), query.heavy)
         if query.attempts:
             self.further.append(self.now)
         query.attempts.append(attempt)
@@ -450,25 +419,29 @@
             return
         self.queries.pop(query.id, None)
         line = self._line(query)
-        if line is not None and query.key is not None and query in line.queue:
-            line.queue.remove(query)
+        if line and query.key is not None and query in line:
+            line.remove(query)
             heappush(self.resting, (line.rest_until, query.key))
             self._next_in_line(line)
 
     def _next_in_line(self, line: Line) -> None:
-        while line.queue and line.queue[0].done and not line.queue[0].out:
-            line.queue.popleft()
-        if line.queue and not line.queue[0].attempts and self.now >= line.rest_until:
-            self._place(line.queue[0])
+        while line and line[0].done and not line[0].out:
+            line.popleft()
+        if line and not line[0].attempts and self.now >= line.rest_until:
+            self._place(line[0])
+
+    @_on.register
+    def _left(self, event: api.ClientLeft) -> None:
+        if event.query in self.queries:
+            self._close(self.queries[event.query])
 
     # --- Outcomes, notes and probes.
 
+    @_on.register
     def _ended(self, event: api.AttemptEnded) -> None:
         query = self.queries.get(event.query)
-        if query is None or event.attempt >= len(query.attempts):
-            return
-        attempt = query.attempts[event.attempt]
-        if attempt.outcome is not None:
+        attempt = query.attempt(event.attempt) if query else None
+        if query is None or attempt is None:  # late, repeated or unknown
             return
         engine, attempt.outcome = attempt.engine, event.outcome
         query.out -= 1
@@ -478,7 +451,7 @@
         engine.heavy_threads -= query.threads if attempt.heavy else 0
         engine.heard(self.now, event.report)
         self._judge(query, attempt, event)
-        if event.outcome in MAY_STILL_RUN and (line := self._line(query)):
+        if event.outcome in MAY_STILL_RUN and (line := self._line(query)) is not None:
             line.rest_until = self.now + self.settings.order_settle_us
         if event.final or query.done:
             self._close(query)
@@ -495,16 +468,13 @@
             engine.full_at = engine.alive_at = self.now
         elif outcome in (api.Outcome.OK, api.Outcome.ERROR):
             engine.alive_at = self.now
-            error = 1.0 if outcome is api.Outcome.ERROR else 0.0
-            engine.errors = engine.error_rate(self.now)
-            engine.errors += ERROR_GAIN * (error - engine.errors)
-            engine.errors_at = self.now
+            rate, error = engine.error_rate(self.now), float(outcome is api.Outcome.ERROR)
+            engine.errors, engine.errors_at = rate + ERROR_GAIN * (error - rate), self.now
         if outcome is not api.Outcome.OK:
             return
         engine.fails = 0
         ratio = event.elapsed_us / max(query.span_us, 5_000.0)
         cls.best *= 0.97 if ratio < cls.best else 1.005
-        cls.usual += 0.05 * (min(ratio, 10.0) - cls.usual)
         engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
         if event.work_ms and query.cost_us:
             told = event.work_ms * 1000 / query.cost_us
@@ -532,14 +502,13 @@
             attempt.moving = True
             self.moving += 1
 
+    @_on.register
     def _noted(self, event: api.AttemptNote) -> None:
         query = self.queries.get(event.query)
-        if query is None or query.done or event.attempt >= len(query.attempts):
-            return
-        attempt = query.attempts[event.attempt]
-        if attempt.outcome is not None or attempt.cancelled or event.topic is not api.Topic.PROGRESS:
+        attempt = query.attempt(event.attempt) if query else None
+        if query is None or attempt is None or query.done or attempt.cancelled:
             return
-        if event.value <= attempt.share:
+        if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
             return
         attempt.share, attempt.engine.alive_at = event.value, self.now
         age = self.now - attempt.sent_at
@@ -550,6 +519,7 @@
         if total > RUNAWAY * fresh and self.now + fresh < min(finish, query.give_up):
             self._elsewhere(query, attempt)
 
+    @_on.register
     def _probed(self, event: api.ProbeEnded) -> None:
         engine = self.engines.get(event.engine)
         if engine is None:
@@ -562,6 +532,7 @@
 
     # --- The engine list.
 
+    @_on.register
     def _listed(self, event: api.EngineList) -> None:
         if event.kind is api.ListKind.FAILED:
             if self.settings.list_on_request:
@@ -574,26 +545,28 @@
                     engine.state = api.EngineState.GONE
         for entry in event.entries:
             self._entry(entry)
-        for address in [
-            a for a, e in self.engines.items() if e.state is api.EngineState.GONE and not e.running
-        ]:
-            del self.engines[address]
+        gone = [e for e in self.engines.values() if e.state is api.EngineState.GONE and not e.running]
+        for engine in gone:
+            del self.engines[engine.address]
         self._release()
 
     def _entry(self, entry: api.EngineEntry) -> None:
         engine = self.engines.setdefault(entry.engine, Engine(entry.engine))
         engine.kind, engine.zone, engine.cell = entry.kind, entry.zone, entry.cell
-        engine.weight, engine.state = entry.weight, entry.state
+        engine.state = entry.state
         engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
         if entry.started_us is not None:
             cold_until = entry.started_us + self.settings.cold_us
-            if cold_until > engine.cold_until and cold_until > self.now:
+            if cold_until > max(engine.cold_until, self.now):  # a new start: old sins are forgotten
                 engine.fails, engine.stretch, engine.errors = 0, 1.0, 0.0
             engine.cold_until = max(engine.cold_until, cold_until)
 
     # --- Housekeeping.
 
-    def _sweep(self) -> None:
+    @_on.register
+    def _timer(self, event: api.TimerFired) -> None:
+        if event.token != SWEEP:
+            return
         s = self.settings
         self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
         while self.last_calls and self.last_calls[0][0] <= self.now:
@@ -605,7 +578,7 @@
             line = self.lines.get(key)
             if line is not None:
                 self._next_in_line(line)
-                if not line.queue and self.now >= line.rest_until:
+                if not line and self.now >= line.rest_until:
                     del self.lines[key]
         listed = [e for e in self.engines.values() if e.state is api.EngineState.READY]
         for engine in self.engines.values():
@@ -614,13 +587,13 @@
                 self._down(engine)
         if listed:
             self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
-            loads = [e.load for e in listed if self.now - e.report_at <= REPORT_AGE_US]
-            self.mean_load = sum(loads) / len(loads) if loads else 0.0
-            held = sum(e.cores * e.load for e in listed if self.now - e.report_at <= REPORT_AGE_US)
-            own = sum(e.threads for e in listed if self.now - e.report_at <= REPORT_AGE_US)
+            fresh = [e for e in listed if self.now - e.report_at <= REPORT_AGE_US]
+            heard = [(e, e.load) for e in fresh if e.load is not None]
+            self.mean_load = sum(load for _, load in heard) / len(heard) if heard else 0.0
+            held = sum(e.cores * load for e, load in heard)
             if held > 0:
-                self.share += SHARE_GAIN * (min(1.0, own / held) - self.share)
-                self.share = max(self.share, 0.5 / max(1, s.fleet_size))
+                share = min(1.0, sum(e.threads for e, _ in heard) / held)
+                self.share += SHARE_GAIN * (max(share, 0.5 / max(1, s.fleet_size)) - self.share)
             self._probe(listed)
         self._release()
 
@@ -638,10 +611,8 @@
         s = self.settings
         if not s.probes_allowed:
             return
-        span = min(OWN_WINDOW_US, s.budget_window_us or OWN_WINDOW_US)
-        while self.taken and self.taken[0] <= self.now - span:
-            self.taken.popleft()
-        rate = len(self.taken) * PROBES_PER_QUERY / span
+        self._budget_left()  # forgets what was taken too long ago to count
+        rate = len(self.taken) * PROBES_PER_QUERY / self.window
         pause = min(PROBE_MOST_US, max(PROBE_US, len(listed) / rate if rate else PROBE_MOST_US))
         for engine in listed:
             wanted = s.reports_by is api.ReportsBy.PROBES or engine.fails
@@ -653,14 +624,8 @@
         """Held queries leave by deadline, and are refused once they cannot finish in time."""
         for lane in sorted((lane for lane in self.lanes.values() if lane), key=lambda held: held[0][0]):
             while lane:
-                query = lane[0][2]
-                horizon = query.due
-                if query.done:
-                    heappop(lane)
-                elif self.now + self._expected_us(query) > horizon:
-                    heappop(lane)
+                query = heappop(lane)[2]
+                if not query.done and self.now + self._expected_us(query) > query.due:
                     self._end(query)
-                else:
-                    heappop(lane)
-                    if not self._place(query):  # held again
-                        break
+                elif not query.done and not self._place(query):  # held again
+                    break
--- a/whintrail/drill/codec.py
+++ b/whintrail/drill/codec.py
@@ -5,7 +5,6 @@
 
 from whintrail.interface import (
     Action,
-    AnswerStarted,
     AttemptEnded,
     AttemptNote,
     CancelAttempt,
@@ -222,9 +221,6 @@
             return None
         return EngineList(kind, () if kind is ListKind.FAILED else lists[data["SetId"]])
 
-    def _started(self, data: Mapping[str, Any], _: Any) -> Event:
-        return AnswerStarted(data["Ref"], data["RoundNo"], data["Node"])
-
     def _left(self, data: Mapping[str, Any], _: Any) -> Event:
         return ClientLeft(data["Ref"])
 
@@ -237,7 +233,6 @@
     "Knock": Reader._arrived,
     "Expired": Reader._left,
     "Result": Reader._ended,
-    "Accepted": Reader._started,
     "HealthResult": Reader._probed,
     "HintUpdate": Reader._note,
     "Timer": Reader._timer,
--- a/whintrail/interface.py
+++ b/whintrail/interface.py
@@ -184,13 +184,6 @@
     report: LoadReport | None
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerStarted:
-    query: int
-    attempt: int
-    engine: str
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptNote:
     query: int
@@ -219,16 +212,7 @@
     entries: tuple[EngineEntry, ...]
 
 
-Event = (
-    QueryArrived
-    | ClientLeft
-    | AttemptEnded
-    | AnswerStarted
-    | AttemptNote
-    | ProbeEnded
-    | TimerFired
-    | EngineList
-)
+Event = QueryArrived | ClientLeft | AttemptEnded | AttemptNote | ProbeEnded | TimerFired | EngineList
 
 
 @dataclass(frozen=True, slots=True)
