Bound all our threads on a pressed engine, so that jams drain

Cause: lights were bounded beside the heavy threads, so a pressed engine stayed over its knee after the trigger had gone. May hurt where a few queries hold far more threads than they use.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -23,7 +23,7 @@
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
 BUSY_MEMORY = 0.95  # share of memory granted: the next grant spills or waits
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
-BRIM = 1.5  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
+BRIM = 0.8  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
 # --- The draw.
 LOAD_FLOOR = 0.1  # keeps an idle engine's weight finite, so that it does not draw everything
@@ -250,9 +250,9 @@
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
         heavy = engine.heavy_threads
-        used, bound = (heavy, 1.0) if query.heavy else (engine.threads - heavy, BRIM)
-        bound *= engine.cores * self.share
-        return used == 0 or used + query.threads <= bound or not self._pressed(engine)
+        used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
+        alone = used == 0 or (not query.heavy and used == heavy)
+        return alone or used + query.threads <= bound * engine.cores * self.share or not self._pressed(engine)
 
     def _pressed(self, engine: Engine) -> bool:
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
