Learn the share from queries held only, bound moves, send heavies only where they finish in time

Cause: utilisation reads low on engines jammed at their disks, so each gateway took itself for the whole fleet and lifted its own bound; moved attempts restarted the same work up to six times.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -42,6 +42,7 @@
 # --- Further attempts.
 RUNAWAY = 4.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
 NOTE_FLOOR = 0.02  # least share done that a projection trusts
+MOST_SENDS = 3  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
 SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
@@ -125,7 +126,7 @@
         self.cost_us, self.memory_mb, self.give_up = event.cost_us, event.memory_mb, event.give_up_us
         self.threads = max(1, cls.settings.threads)
         cost = event.cost_us if event.cost_us is not None else cls.cost_us or cls.settings.aim_us / 4
-        self.span_us = cost / self.threads
+        self.span_us = cost * (cls.told_work or 1.0) / self.threads  # alone on its threads
         self.aim_at = now + cls.settings.aim_us + cls.settings.aim_stretch * self.span_us
         self.due = min(self.aim_at, event.give_up_us)
         self.heavy = self.done = False
@@ -222,7 +223,7 @@
 
     def _mean_span_us(self) -> float:
         """Mean cost per thread over all classes."""
-        total = sum(c.cost_us / max(1, c.settings.threads) * c.seen for c in self.classes.values())
+        total = sum(c.work_us() / max(1, c.settings.threads) * c.seen for c in self.classes.values())
         return total / max(1, sum(c.seen for c in self.classes.values()))
 
     def _place(self, query: Query) -> bool:
@@ -237,6 +238,8 @@
         tried = [a.engine for a in query.attempts]
         usable = [e for e in usable if e not in tried] or usable
         usable = [e for e in usable if self._has_room(query, e)]
+        if query.heavy:
+            usable = [e for e in usable if self.now + query.span_us * query.cls.best * e.stretch <= query.due]
         if not usable or not self._turn(query):
             if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
                 self._end(query)
@@ -251,8 +254,9 @@
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
         heavy = engine.heavy_threads
         used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
-        alone = used == 0 or (not query.heavy and used == heavy)
-        return alone or used + query.threads <= bound * engine.cores * self.share or not self._pressed(engine)
+        if not self._pressed(engine) or used + query.threads <= bound * engine.cores * self.share:
+            return True
+        return used == 0 or (not query.heavy and used - heavy + query.threads <= 1)
 
     def _pressed(self, engine: Engine) -> bool:
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
@@ -383,7 +387,7 @@
         """Short classes first, heavy and late queries last: little waits, and what is late earns little."""
         if self.now > query.aim_at:
             return 0
-        short = query.cls.cost_us / query.threads < self._mean_span_us() / 2
+        short = query.cls.work_us() / query.threads < self._mean_span_us() / 2
         return (3 if short else 2) - (1 if query.heavy else 0)
 
     # --- Ends.
@@ -473,9 +477,8 @@
         if outcome is not api.Outcome.OK:
             return
         engine.fails = 0
-        ratio = event.elapsed_us / max(query.span_us, 5_000.0)
+        ratio = self._stretch(query, engine, event.elapsed_us)
         cls.best *= 0.97 if ratio < cls.best else 1.005
-        engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
         if event.work_ms and query.cost_us:
             told = event.work_ms * 1000 / query.cost_us
             cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
@@ -483,6 +486,12 @@
             over = event.memory_mb > query.memory_mb * cls.grant
             cls.grant *= 1 + 0.05 * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
 
+    def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> float:
+        """An elapsed time against the estimate; what was called off counts too, else a jam looks quick."""
+        ratio = elapsed_us / max(query.span_us, 5_000.0)
+        engine.stretch += STRETCH_GAIN * (min(ratio / query.cls.best, 10.0) - engine.stretch)
+        return ratio
+
     def _down(self, engine: Engine) -> None:
         """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
         if self.now >= engine.down_until:
@@ -496,9 +505,10 @@
     def _elsewhere(self, query: Query, attempt: Attempt) -> None:
         """Give up one attempt for another; the result of the cancelled one brings the next."""
         s = self.settings
-        room = s.max_attempts is None or len(query.attempts) < s.max_attempts
+        room = len(query.attempts) < min(MOST_SENDS, s.max_attempts or MOST_SENDS)
         if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
+            self._stretch(query, attempt.engine, self.now - attempt.sent_at)
             attempt.moving = True
             self.moving += 1
 
@@ -588,11 +598,11 @@
         if listed:
             self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
             fresh = [e for e in listed if self.now - e.report_at <= REPORT_AGE_US]
-            heard = [(e, e.load) for e in fresh if e.load is not None]
-            self.mean_load = sum(load for _, load in heard) / len(heard) if heard else 0.0
-            held = sum(e.cores * load for e, load in heard)
-            if held > 0:
-                share = min(1.0, sum(e.threads for e, _ in heard) / held)
+            loads = [e.load for e in fresh if e.load is not None]
+            self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            held = sum(e.report.held or 0 for e in fresh if e.report)
+            if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
+                share = min(1.0, sum(len(e.running) for e in fresh) / held)
                 self.share += SHARE_GAIN * (max(share, 0.5 / max(1, s.fleet_size)) - self.share)
             self._probe(listed)
         self._release()
