--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -26,7 +26,7 @@
 BRIM = 0.8  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
 # --- The draw.
-LOAD_FLOOR = 0.1  # keeps an idle engine's weight finite, so that it does not draw everything
+LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
@@ -35,6 +35,7 @@
 SILENT_US = 500_000  # least time without any sign of life before an engine is called silent
 PATIENCE = 6.0  # times the expected time of an attempt before its silence tells against the engine
 NOTES_MISSED = 3.2  # or so many progress notes that did not come
+ERRORS_MOST = 0.3  # an engine that fails more of its queries is left alone while others do not
 ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one error, and how fast its memory fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY = 0.35  # probing stays well under one a query, which is what probes are priced by
@@ -233,7 +234,7 @@
                 self._end(query)
             return query.done or query.out > 0
         ready = [e for e in self.engines.values() if self._engine_may(query, e)]
-        healthy = any(e.fails == 0 for e in ready)
+        healthy = any(e.fails == 0 and e.error_rate(self.now) < ERRORS_MOST for e in ready)
         usable = [e for e in ready if self._usable(e, healthy)]
         tried = [a.engine for a in query.attempts]
         usable = [e for e in usable if e not in tried] or usable
@@ -268,9 +269,11 @@
         return self._load(engine) > engine.busy_at
 
     def _usable(self, engine: Engine, healthy: bool) -> bool:
-        """Failed engines come back one query at a time; full ones rest a moment."""
+        """Failed engines come back one query at a time; full ones and failing ones rest a while."""
         if engine.fails:
             return self.now >= engine.down_until and (not healthy or not engine.running)
+        if healthy and engine.error_rate(self.now) >= ERRORS_MOST:
+            return False
         return self.now - engine.full_at >= FULL_REST_US
 
     def _load(self, engine: Engine) -> float:
