--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -25,6 +25,11 @@
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
 BRIM = 0.8  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
+WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = (
+    0.01,
+    0.5,
+    2.0,
+)  # bounds move by latency: threads that read leave cores free
 # --- The draw.
 LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
@@ -71,6 +76,7 @@
         self.busy_at, self.report_at = BUSY_HELD, -REPORT_AGE_US
         self.since, self.since_at = 0.0, 0
         self.stretch, self.errors, self.errors_at = 1.0, 0.0, 0
+        self.width = 1.0  # the bounds against their first values
         self.fails, self.down_until, self.alive_at, self.full_at = 0, 0, 0, -FULL_REST_US
         self.probe_at, self.probing = 0, False
 
@@ -255,7 +261,8 @@
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
         heavy = engine.heavy_threads
         used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
-        if not self._pressed(engine) or used + query.threads <= bound * engine.cores * self.share:
+        bound *= engine.width * engine.cores * self.share
+        if not self._pressed(engine) or used + query.threads <= bound:
             return True
         return used == 0 or (not query.heavy and used - heavy + query.threads <= 1)
 
@@ -493,6 +500,8 @@
         """An elapsed time against the estimate; what was called off counts too, else a jam looks quick."""
         ratio = elapsed_us / max(query.span_us, 5_000.0)
         engine.stretch += STRETCH_GAIN * (min(ratio / query.cls.best, 10.0) - engine.stretch)
+        step = WIDTH_STEP if engine.stretch < PRESSED_STRETCH else -WIDTH_STEP
+        engine.width = min(WIDTH_MOST, max(WIDTH_LEAST, engine.width + step))
         return ratio
 
     def _down(self, engine: Engine) -> None:
