--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -54,7 +54,7 @@
 SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
 SWEEP_US = 50_000  # housekeeping pace
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
-GRANT_QUANTILE = 0.85  # memory grants cover this share of what queries turned out to need
+GRANT_QUANTILE, GRANT_STEP = 0.85, 0.05  # grants cover this share of the queries; how fast they follow
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 MAY_STILL_RUN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.UNKNOWN)
@@ -103,7 +103,7 @@
 
     def __init__(self, settings: api.QueryClass) -> None:
         self.settings = settings
-        self.seen = self.costs = self.memories = 0
+        self.seen = self.costs = self.memories = self.grants = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
         self.best = 1.0  # elapsed time against the estimate, at best
         self.grant = 1.25  # memory to ask for against the estimate
@@ -493,8 +493,10 @@
             told = event.work_ms * 1000 / query.cost_us
             cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
         if event.memory_mb and query.memory_mb:
+            cls.grants += 1
             over = event.memory_mb > query.memory_mb * cls.grant
-            cls.grant *= 1 + 0.05 * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
+            step = max(GRANT_STEP, 1 / (1 + cls.grants / 4))
+            cls.grant *= 1 + step * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
 
     def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> float:
         """An elapsed time against the estimate; what was called off counts too, else a jam looks quick."""
