--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -47,18 +47,17 @@
 PROBE_US, PROBE_MOST_US = 400_000, 3_000_000  # shortest and longest time between probes of an engine
 # --- Further attempts.
 RUNAWAY = 4.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
-NOTE_FLOOR = 0.02  # least share done that a projection trusts
 MOST_SENDS = 3  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
 SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
-SWEEP_US = 50_000  # housekeeping pace
+SWEEP_US, WATCH_US = 50_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
 GRANT_QUANTILE, GRANT_STEP = 0.85, 0.05  # grants cover this share of the queries; how fast they follow
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 MAY_STILL_RUN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.UNKNOWN)
-SWEEP = "sweep"
+SWEEP, WATCH = "sweep", "watch"
 
 
 class Engine:
@@ -89,13 +88,12 @@
         return self.errors * math.exp((self.errors_at - now) / ERROR_FADE_US)
 
     def heard(self, now: int, report: api.LoadReport | None) -> None:
-        if report is None:
-            return
-        if report.utilisation is not None:
-            self.load, self.busy_at = report.utilisation, BUSY_UTILISATION
-        elif report.held is not None:
-            self.load, self.busy_at = report.held / self.cores, BUSY_HELD
-        self.report, self.report_at = report, now
+        if report is not None:
+            self.report, self.report_at = report, now
+            if report.utilisation is not None:
+                self.load, self.busy_at = report.utilisation, BUSY_UTILISATION
+            elif report.held is not None:
+                self.load, self.busy_at = report.held / self.cores, BUSY_HELD
 
 
 class ClassState:
@@ -105,8 +103,10 @@
         self.settings = settings
         self.seen = self.costs = self.memories = self.grants = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
-        self.best = 1.0  # elapsed time against the estimate, at best
-        self.grant = 1.25  # memory to ask for against the estimate
+        self.best, self.grant = (
+            1.0,
+            1.25,
+        )  # elapsed time at best, and memory to ask for, against the estimates
         self.told_work = 0.0  # work that answers told against the estimate; 0: never told
 
     def work_us(self) -> float:
@@ -145,11 +145,6 @@
         """The first attempt that may have run."""
         return next((a for a in self.attempts if a.outcome not in NEVER_RAN), None)
 
-    def attempt(self, number: int) -> Attempt | None:
-        """The attempt of that number while it is out."""
-        out = 0 <= number < len(self.attempts) and self.attempts[number].outcome is None
-        return self.attempts[number] if out else None
-
 
 class Line(deque[Query]):
     """Queries of one key in the order taken, and how long the key must rest."""
@@ -161,30 +156,24 @@
     """One instance of the query gateway."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.settings = settings
-        self.random = Random(seed)
-        self.now = now
+        self.settings, self.random, self.now = settings, Random(seed), now
         self.actions: list[api.Action] = []
         self.classes = {c.name: ClassState(c) for c in settings.classes}
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.lanes: dict[tuple[str, bool], list[tuple[float, int, Query]]] = {}
         self.lines: dict[str, Line] = {}
-        self.resting: list[tuple[int, str]] = []
-        self.last_calls: list[tuple[int, int]] = []
-        self.taken: deque[int] = deque()
-        self.further: deque[int] = deque()
+        self.resting, self.last_calls = list[tuple[int, str]](), list[tuple[int, int]]()
+        self.taken, self.further = deque[int](), deque[int]()
         self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
         self.moving = 0  # attempts cancelled so that others take their place
-        self.stretch = 1.0  # the fleet's usual latency against the best
-        self.mean_load = 0.0
-        self.share = 1.0 / max(1, settings.fleet_size)  # of the fleet's work, this gateway's part
+        self.stretch, self.mean_load = 1.0, 0.0  # the fleet's usual latency against the best, and load
+        self.fleet = max(1, settings.fleet_size)
+        self.share = 1.0 / self.fleet  # of the fleet's work, this gateway's part
 
     def start(self) -> list[api.Action]:
-        self.actions = [api.SetTimer(SWEEP, self.now + SWEEP_US)]
-        if self.settings.list_on_request:
-            self.actions.append(api.WatchList(True))
-        return self.actions
+        watch = [api.WatchList(True)] if self.settings.list_on_request else []
+        return [api.SetTimer(SWEEP, self.now + SWEEP_US), *watch]
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
@@ -199,8 +188,9 @@
 
     @_on.register
     def _arrived(self, event: api.QueryArrived) -> None:
-        cls = self.classes.get(event.class_name)
-        if cls is None:  # a class that the settings do not name: nothing is known of its effects
+        if (
+            cls := self.classes.get(event.class_name)
+        ) is None:  # a class that the settings do not name: nothing is known of its effects
             self.actions.append(api.Fail(event.query))
             return
         query = Query(event, cls, self.now)
@@ -235,24 +225,21 @@
 
     def _place(self, query: Query) -> bool:
         """Send the query, end it, or hold it (False)."""
-        if query.done or not self._query_may(query):
-            if not query.done and not query.out and self._turn(query):
+        if not self._query_may(query):
+            if not query.done and not query.out:
                 self._end(query)
-            return query.done or query.out > 0
+            return True
         ready = [e for e in self.engines.values() if self._engine_may(query, e)]
-        healthy = any(e.fails == 0 and e.error_rate(self.now) < ERRORS_MOST for e in ready)
-        usable = [e for e in ready if self._usable(e, healthy)]
         tried = [a.engine for a in query.attempts]
+        healthy = any(e.fails == 0 and e.error_rate(self.now) < ERRORS_MOST for e in ready)
+        usable = [e for e in ready if self._usable(e, healthy) and self._has_room(query, e)]
         usable = [e for e in usable if e not in tried] or usable
-        usable = [e for e in usable if self._has_room(query, e)]
-        if query.heavy:
-            usable = [e for e in usable if self.now + query.span_us * query.cls.best * e.stretch <= query.due]
+        if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
+            self._end(query)
+        elif self._turn(query) and not usable:
+            lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
+            heappush(lane, (query.due, query.id, query))
         if not usable or not self._turn(query):
-            if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
-                self._end(query)
-            elif self._turn(query):
-                lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
-                heappush(lane, (query.due, query.id, query))
             return False
         self._send(query, self._draw(usable))
         return True
@@ -260,6 +247,8 @@
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
         heavy = engine.heavy_threads
+        if query.heavy and self.now + query.span_us * query.cls.best * engine.stretch > query.due:
+            return False  # it could not finish in time there
         used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
         bound *= engine.width * engine.cores * self.share
         if not self._pressed(engine) or used + query.threads <= bound:
@@ -271,17 +260,15 @@
         if engine.stretch > PRESSED_STRETCH or self.now - engine.full_at < FULL_REST_US:
             return True
         report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
-        if report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY):
-            return True
-        return self._load(engine) > engine.busy_at
+        memory = report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY)
+        return bool(memory) or self._load(engine) > engine.busy_at
 
     def _usable(self, engine: Engine, healthy: bool) -> bool:
         """Failed engines come back one query at a time; full ones and failing ones rest a while."""
         if engine.fails:
             return self.now >= engine.down_until and (not healthy or not engine.running)
-        if healthy and engine.error_rate(self.now) >= ERRORS_MOST:
-            return False
-        return self.now - engine.full_at >= FULL_REST_US
+        failing = healthy and engine.error_rate(self.now) >= ERRORS_MOST
+        return not failing and self.now - engine.full_at >= FULL_REST_US
 
     def _load(self, engine: Engine) -> float:
         load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
@@ -331,10 +318,9 @@
     def _engine_may(self, query: Query, engine: Engine) -> bool:
         """Rules 2, 3, 4 and 6 for this engine."""
         cls = query.cls.settings
-        if engine.state is not api.EngineState.READY:
-            return False
         placed = cls.zones is None or engine.zone in cls.zones
-        if not placed or (cls.kinds is not None and engine.kind not in cls.kinds):
+        placed = placed and (cls.kinds is None or engine.kind in cls.kinds)
+        if engine.state is not api.EngineState.READY or not placed:
             return False
         exposed = query.exposed() if cls.effect is api.Effect.BY_KEY else None
         if exposed and cls.group is not api.DedupGroup.ALL:
@@ -351,8 +337,7 @@
             return True
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
-        budget = SAFE_PART * s.tip_multiple * s.start_capacity * engine.cores * s.tip_after_us
-        budget /= max(1, s.fleet_size)
+        budget = SAFE_PART * s.tip_multiple * s.start_capacity * engine.cores * s.tip_after_us / self.fleet
         work = query.cls.work_us() or budget
         return sum(w for _, w in engine.cold_sent) + work <= budget
 
@@ -408,23 +393,19 @@
         harmless = exposed is None or cls.effect is api.Effect.REPEATABLE
         if exposed and cls.effect is api.Effect.BY_KEY and cls.group is api.DedupGroup.ALL:
             harmless = self.now < exposed.sent_at + cls.window_us
-        if harmless:
-            pause = self.settings.max_retry_after_us if self.settings.retry_after else None
-            self.actions.append(api.Refuse(query.id, pause or None))
-        else:
-            self.actions.append(api.Fail(query.id))
+        pause = self.settings.max_retry_after_us if self.settings.retry_after else None
+        self.actions.append(api.Refuse(query.id, pause or None) if harmless else api.Fail(query.id))
         self._close(query)
 
     def _close(self, query: Query) -> None:
         """The query is over; nobody waits for what still runs."""
         query.done = True
         for attempt in query.attempts:
-            if attempt.outcome is None:
-                self._cancel(query, attempt)
+            self._cancel(query, attempt)
         self._forget(query)
 
     def _cancel(self, query: Query, attempt: Attempt) -> None:
-        if self.settings.cancel_allowed and not attempt.cancelled:
+        if self.settings.cancel_allowed and attempt.outcome is None and not attempt.cancelled:
             attempt.cancelled = True
             self.actions.append(api.CancelAttempt(query.id, attempt.number))
 
@@ -446,16 +427,21 @@
 
     @_on.register
     def _left(self, event: api.ClientLeft) -> None:
-        if event.query in self.queries:
-            self._close(self.queries[event.query])
+        if query := self.queries.get(event.query):
+            self._close(query)
 
     # --- Outcomes, notes and probes.
 
+    def _find(self, query_id: int, number: int) -> tuple[Query | None, Attempt | None]:
+        """The query and its attempt while that is out; words on others come late, twice or unasked."""
+        query = self.queries.get(query_id)
+        attempt = next((a for a in query.attempts if a.number == number), None) if query else None
+        return query, attempt if attempt and attempt.outcome is None else None
+
     @_on.register
     def _ended(self, event: api.AttemptEnded) -> None:
-        query = self.queries.get(event.query)
-        attempt = query.attempt(event.attempt) if query else None
-        if query is None or attempt is None:  # late, repeated or unknown
+        query, attempt = self._find(event.query, event.attempt)
+        if query is None or attempt is None:
             return
         engine, attempt.outcome = attempt.engine, event.outcome
         query.out -= 1
@@ -528,15 +514,14 @@
 
     @_on.register
     def _noted(self, event: api.AttemptNote) -> None:
-        query = self.queries.get(event.query)
-        attempt = query.attempt(event.attempt) if query else None
+        query, attempt = self._find(event.query, event.attempt)
         if query is None or attempt is None or query.done or attempt.cancelled:
             return
         if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
             return
         attempt.share, attempt.engine.alive_at = event.value, self.now
         age = self.now - attempt.sent_at
-        total = age / max(event.value, NOTE_FLOOR)
+        total = age / max(event.value, 0.02)
         finish, fresh = attempt.sent_at + total, self._expected_us(query)
         if query.cls.settings.effect is not api.Effect.REPEATABLE or finish <= query.aim_at:
             return
@@ -545,8 +530,7 @@
 
     @_on.register
     def _probed(self, event: api.ProbeEnded) -> None:
-        engine = self.engines.get(event.engine)
-        if engine is None:
+        if (engine := self.engines.get(event.engine)) is None:
             return
         engine.probing = False
         engine.heard(self.now, event.report)
@@ -558,20 +542,16 @@
 
     @_on.register
     def _listed(self, event: api.EngineList) -> None:
-        if event.kind is api.ListKind.FAILED:
-            if self.settings.list_on_request:
-                self.actions.append(api.WatchList(True))
+        if event.kind is api.ListKind.FAILED:  # the list in hand stays in force
+            self.actions.append(api.SetTimer(WATCH, self.now + WATCH_US))
             return
         if event.kind is not api.ListKind.DELTA:
-            named = {entry.engine: True for entry in event.entries}
-            for address, engine in self.engines.items():
-                if address not in named:
-                    engine.state = api.EngineState.GONE
+            for engine in self.engines.values():
+                engine.state = api.EngineState.GONE
         for entry in event.entries:
             self._entry(entry)
-        gone = [e for e in self.engines.values() if e.state is api.EngineState.GONE and not e.running]
-        for engine in gone:
-            del self.engines[engine.address]
+        gone = api.EngineState.GONE
+        self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.running}
         self._release()
 
     def _entry(self, entry: api.EngineEntry) -> None:
@@ -589,18 +569,17 @@
 
     @_on.register
     def _timer(self, event: api.TimerFired) -> None:
+        if event.token == WATCH:
+            self.actions.append(api.WatchList(True))
         if event.token != SWEEP:
             return
-        s = self.settings
         self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
         while self.last_calls and self.last_calls[0][0] <= self.now:
             query = self.queries.get(heappop(self.last_calls)[1])
             if query is not None and not query.done and self.now >= query.give_up - LAST_CALL_US:
                 self._end(query)
         while self.resting and self.resting[0][0] <= self.now:
-            key = heappop(self.resting)[1]
-            line = self.lines.get(key)
-            if line is not None:
+            if (line := self.lines.get(key := heappop(self.resting)[1])) is not None:
                 self._next_in_line(line)
                 if not line and self.now >= line.rest_until:
                     del self.lines[key]
@@ -617,7 +596,7 @@
             held = sum(e.report.held or 0 for e in fresh if e.report)
             if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
                 share = min(1.0, sum(len(e.running) for e in fresh) / held)
-                self.share += SHARE_GAIN * (max(share, 0.5 / max(1, s.fleet_size)) - self.share)
+                self.share += SHARE_GAIN * (max(share, 0.5 / self.fleet) - self.share)
             self._probe(listed)
         self._release()
 
