--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,158 @@
+"""The steps of the design, on the module alone."""
+
+from collections import Counter
+
+from tests.helpers import SECOND, Driver, answers, engine, query_class, sends, settings
+from whintrail import interface as api
+from whintrail.brain import BAR, BRIM, LEARN_QUERIES
+
+Out = api.Outcome
+HEAVY = 3.0 * SECOND  # of a class whose mean is 100 ms
+
+
+def heavy(driver: Driver, query: int) -> bool:
+    return driver.gateway.queries[query].heavy
+
+
+def test_the_first_twenty_of_a_class_are_light() -> None:
+    driver = Driver(settings(), engine("a"))
+    for number in range(LEARN_QUERIES):
+        driver.ask(number, cost_us=100_000.0 if number < LEARN_QUERIES - 1 else HEAVY)
+        assert not heavy(driver, number)
+    driver.ask(100, cost_us=HEAVY)
+    assert heavy(driver, 100)
+
+
+def test_heavy_by_cost_or_by_memory_against_the_class_mean() -> None:
+    driver = Driver(settings(), engine("a"))
+    driver.learn(count=LEARN_QUERIES + 5, memory_mb=100.0)
+    driver.ask(1, cost_us=BAR * 90_000.0)
+    driver.ask(2, cost_us=110_000.0, memory_mb=100.0)
+    driver.ask(3, cost_us=HEAVY, memory_mb=1.0)
+    assert [heavy(driver, n) for n in (1, 2, 3)] == [False, True, True]
+
+
+def test_a_missing_estimate_counts_as_the_mean_and_goes_light_but_zero_is_zero() -> None:
+    driver = Driver(settings(), engine("a"))
+    driver.learn()
+    mean = driver.gateway.classes["short"].cost_us
+    driver.ask(1, cost_us=None, memory_mb=None)
+    assert not heavy(driver, 1) and driver.gateway.queries[1].span_us == mean
+    assert driver.gateway.classes["short"].cost_us == mean
+    driver.ask(2, cost_us=0.0)
+    assert not heavy(driver, 2) and driver.gateway.queries[2].span_us == 0
+    assert driver.gateway.classes["short"].cost_us < mean
+
+
+def loaded(*entries: api.EngineEntry) -> Driver:
+    """Two classes: many short queries, and long ones of two threads."""
+    long = query_class("long", threads=2, aim_us=20 * SECOND, deadline_us=60 * SECOND)
+    driver = Driver(settings(query_class(), long), *entries)
+    driver.learn(count=60)
+    driver.learn("long", count=25, first=20_000, cost_us=2.0 * SECOND)
+    return driver
+
+
+def ask_long(driver: Driver, query: int) -> list[api.Action]:
+    return driver.ask(query, "long", cost_us=2.0 * SECOND, give_up_us=driver.now + 60 * SECOND)
+
+
+def test_the_bound_binds_only_under_pressure_and_never_an_idle_engine() -> None:
+    driver = loaded(engine("a"))
+    for number in range(6):
+        assert sends(ask_long(driver, number))  # no pressure: nothing binds
+        driver.now += 300_000
+        driver.report("a", utilisation=0.3)
+    driver.report("a", utilisation=1.0)
+    assert not sends(ask_long(driver, 10))
+    assert sends(driver.ask(11))  # a light query passes
+    for number in range(6):
+        driver.end(number, Out.OK, elapsed_us=1 * SECOND)
+    assert sends(driver.actions, 10)
+
+
+def test_an_engine_without_our_heavy_queries_takes_one_under_pressure() -> None:
+    driver = loaded(engine("a"))
+    driver.gateway.share = 0.01
+    driver.report("a", utilisation=1.0)
+    assert sends(ask_long(driver, 1)) and not sends(ask_long(driver, 2))
+
+
+def test_a_full_refusal_and_a_queue_for_memory_are_pressure_too() -> None:
+    driver = loaded(engine("a"))
+    item = driver.gateway.engines["a"]
+    driver.report("a", utilisation=0.2, memory_queue=1)
+    assert driver.gateway._pressed(item)
+    driver.report("a", utilisation=0.2, memory_queue=0)
+    assert not driver.gateway._pressed(item)
+    item.full_at = driver.now
+    assert driver.gateway._pressed(item)
+
+
+def test_held_queries_leave_by_deadline_and_are_refused_when_too_late() -> None:
+    driver = loaded(engine("a"))
+    driver.gateway.share = 0.01
+    driver.report("a", utilisation=1.0)
+    ask_long(driver, 1)
+    for number, cost in ((2, 2.4), (3, 2.0), (4, 2.2)):
+        driver.ask(number, "long", cost_us=cost * SECOND, give_up_us=driver.now + 60 * SECOND)
+    driver.report("a", utilisation=1.0)
+    assert [s.query for s in sends(driver.end(1, Out.OK))] == [3]
+    for _ in range(500):  # the one that runs has no end
+        driver.now += 50_000
+        driver.report("a", utilisation=1.0)
+        driver.tell(api.AttemptNote(3, 0, "a", api.Topic.PROGRESS, 0.001 * _))
+    driver.wait(50_000)
+    assert answers(driver.actions, 2) == answers(driver.actions, 4) == [api.Refuse]
+
+
+def test_light_queries_do_not_keep_up_a_jam() -> None:
+    driver = Driver(settings(), engine("a"))
+    driver.learn()
+    for number in range(100):
+        driver.report("a", utilisation=1.0)
+        driver.ask(number)
+    width = driver.gateway.engines["a"].width
+    assert 1 <= len(sends(driver.actions)) - 40 <= BRIM * width * 8 / 2
+
+
+def test_the_draw_follows_reports_and_our_own_sends() -> None:
+    driver = Driver(settings(), engine("busy"), engine("idle"))
+    for number in range(300):
+        driver.report("busy", utilisation=0.9)
+        driver.report("idle", utilisation=0.3)
+        driver.ask(number)
+        driver.end(number, Out.OK)
+        driver.now += 300_000
+    drawn = Counter(s.engine for s in sends(driver.actions))
+    assert drawn["idle"] > 3 * drawn["busy"] > 0
+
+
+def test_our_sends_count_until_reports_show_them() -> None:
+    driver = Driver(settings(), engine("a"), engine("b"))
+    for number in range(200):
+        driver.ask(number, cost_us=1000.0)
+    drawn = Counter(s.engine for s in sends(driver.actions))
+    assert abs(drawn["a"] - drawn["b"]) < 40
+
+
+def test_an_unheard_engine_counts_as_average() -> None:
+    driver = Driver(settings(), engine("a"), engine("b"), engine("new"))
+    driver.report("a", utilisation=0.2)
+    driver.report("b", utilisation=0.6)
+    driver.wait(50_000)
+    assert abs(driver.gateway._load(driver.gateway.engines["new"]) - 0.4) < 1e-9
+    driver.wait(10 * SECOND)  # the reports have grown too old to say anything
+    loads = {driver.gateway._load(e) for e in driver.gateway.engines.values()}
+    assert len(loads) == 1
+
+
+def test_same_events_same_actions() -> None:
+    def run(seed: int) -> list[api.Action]:
+        driver = Driver(settings(), *(engine(f"e{n}") for n in range(5)), seed=seed)
+        for number in range(50):
+            driver.ask(number)
+            driver.wait(50_000)
+        return driver.actions
+
+    assert run(1) == run(1) != run(2)
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,240 @@
+"""One test for each failure found, and for the families of trouble that the defences are meant for."""
+
+from collections import Counter
+
+import pytest
+
+from tests.helpers import SECOND, Driver, answers, engine, query_class, sends, settings
+from whintrail import interface as api
+from whintrail.brain import ERRORS_MOST, MOST_SENDS, OWN_FREE, OWN_SHARE
+
+Out = api.Outcome
+
+
+def fleet(count: int = 4, **changes: object) -> Driver:
+    driver = Driver(settings(**changes), *(engine(f"e{n}") for n in range(count)))
+    driver.learn()
+    return driver
+
+
+def where(driver: Driver, query: int) -> str:
+    return sends(driver.actions, query)[-1].engine
+
+
+@pytest.mark.parametrize("outcome", [Out.CONNECT_FAILED, Out.RESET])
+def test_an_engine_that_fails_us_rests_and_comes_back_one_query_at_a_time(outcome: api.Outcome) -> None:
+    driver = fleet()
+    driver.ask(1)
+    failed = where(driver, 1)
+    driver.end(1, outcome)
+    first = len(driver.actions)
+    for number in range(2, 40):
+        driver.ask(number)
+        driver.end(number, Out.OK)
+    assert failed not in {s.engine for s in sends(driver.actions[first:])}
+    driver.wait(2 * SECOND)
+    engines = driver.gateway.engines.values()
+    usable = [e for e in engines if driver.gateway._usable(e, healthy=True)]
+    assert failed in {e.address for e in usable}
+    driver.gateway.engines[failed].running[0, 0] = None  # type: ignore[assignment]
+    assert not driver.gateway._usable(driver.gateway.engines[failed], healthy=True)
+
+
+def test_a_silent_engine_is_left_and_its_queries_are_tried_elsewhere() -> None:
+    driver = fleet()
+    driver.ask(1)
+    silent = where(driver, 1)
+    cancelled = [a for a in driver.wait(2 * SECOND) if isinstance(a, api.CancelAttempt)]
+    assert [a.query for a in cancelled] == [1]
+    driver.end(1, Out.CANCELLED)
+    assert where(driver, 1) != silent
+
+
+def test_progress_notes_are_a_sign_of_life_only_while_they_progress() -> None:
+    driver = fleet()
+    driver.ask(1, cost_us=20.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+    name = where(driver, 1)
+    for step in range(1, 8):
+        driver.tell(api.AttemptNote(1, 0, name, api.Topic.PROGRESS, step / 20))
+        assert not [a for a in driver.wait(SECOND) if isinstance(a, api.CancelAttempt)]
+    for _ in range(5):
+        driver.tell(api.AttemptNote(1, 0, name, api.Topic.PROGRESS, 7 / 20))
+        driver.wait(SECOND)
+    assert [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
+
+
+def test_all_engines_failing_does_not_shut_out_the_fleet() -> None:
+    driver = fleet()
+    for item in driver.gateway.engines.values():
+        item.fails, item.down_until = 3, driver.now
+    assert sends(driver.ask(1)) and sends(driver.ask(2)) and sends(driver.ask(3))
+
+
+def test_all_engines_slow_together_are_all_used_and_nothing_is_moved() -> None:
+    driver = fleet()
+    for number in range(200):
+        driver.ask(number)
+        driver.now += 50_000
+        driver.end(number, Out.OK, elapsed_us=300_000)
+    drawn = Counter(s.engine for s in sends(driver.actions))
+    assert len(drawn) == 4 and min(drawn.values()) > 20
+    assert not [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
+
+
+def test_a_slow_engine_draws_little() -> None:
+    driver = fleet()
+    first = len(driver.actions)
+    for number in range(400):
+        driver.ask(number)
+        slow = where(driver, number) == "e0"
+        driver.end(number, Out.OK, elapsed_us=800_000 if slow else 100_000)
+        driver.now += 20_000
+        if number % 10 == 0:
+            driver.wait(50_000)
+    drawn = Counter(s.engine for s in sends(driver.actions[first:]))
+    assert drawn["e0"] < drawn["e1"] / 3
+
+
+def test_an_engine_that_answers_mostly_errors_rests_while_others_do_not() -> None:
+    driver = fleet()
+    for number in range(300):
+        driver.ask(number)
+        bad = where(driver, number) == "e0"
+        driver.end(number, Out.ERROR if bad else Out.OK)
+        driver.now += 10_000
+    tried = [s for s in sends(driver.actions) if s.engine == "e0"]
+    assert driver.gateway.engines["e0"].error_rate(driver.now) >= ERRORS_MOST * 0.5
+    assert len(tried) < 60
+
+
+def test_a_storm_of_errors_everywhere_does_not_multiply_attempts() -> None:
+    driver = fleet(8, max_attempts=None)
+    first = len(driver.actions)
+    for number in range(300):
+        driver.ask(number)
+        for attempt in range(9):
+            if number in driver.gateway.queries:
+                driver.end(number, Out.ERROR, attempt=attempt)
+    further = len(sends(driver.actions[first:])) - 300
+    assert further <= OWN_FREE + OWN_SHARE * 400
+
+
+def test_a_runaway_plan_is_tried_again_but_not_for_ever() -> None:
+    driver = fleet(max_attempts=None)
+    driver.ask(1, cost_us=1.0 * SECOND, give_up_us=driver.now + 300 * SECOND)
+    for attempt in range(6):
+        driver.now += SECOND
+        note = api.AttemptNote(1, attempt, where(driver, 1), api.Topic.PROGRESS, 0.01)
+        if not [a for a in driver.tell(note) if isinstance(a, api.CancelAttempt)]:
+            break
+        driver.end(1, Out.CANCELLED, attempt=attempt)
+    assert len(sends(driver.actions, 1)) == MOST_SENDS
+
+
+def test_a_once_query_is_never_moved() -> None:
+    driver = Driver(settings(query_class(effect=api.Effect.ONCE)), engine("a"), engine("b"))
+    driver.learn()
+    driver.ask(1)
+    driver.now += SECOND
+    driver.tell(api.AttemptNote(1, 0, where(driver, 1), api.Topic.PROGRESS, 0.001))
+    driver.wait(5 * SECOND)
+    assert not [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
+
+
+def test_low_utilisation_on_jammed_disks_does_not_raise_our_share() -> None:
+    driver = fleet()
+    for number in range(60):
+        driver.ask(number)
+        driver.report("e0", utilisation=0.2)
+        driver.now += 20_000
+    driver.wait(100_000)
+    assert driver.gateway.share == 0.5
+
+
+def test_our_share_follows_the_queries_held() -> None:
+    driver = Driver(settings(fleet_size=4), engine("a"))
+    for number in range(8):
+        driver.ask(number, cost_us=50.0 * SECOND)
+    for _ in range(200):
+        driver.report("a", held=10)
+        driver.wait(50_000)
+        driver.gateway.engines["a"].alive_at = driver.now
+    assert driver.gateway.share > 0.7
+
+
+def test_reports_that_freeze_stop_or_lie_do_not_stop_service() -> None:
+    driver = fleet()
+    driver.report("e0", utilisation=None, held=None)
+    driver.tell(api.ProbeEnded("e1", Out.OK, 1000, None))
+    driver.report("e2", utilisation=-5.0, memory_queue=None)
+    assert sends(driver.ask(1)) and sends(driver.ask(2))
+
+
+def test_estimates_that_go_missing_for_a_class_leave_it_served() -> None:
+    driver = fleet()
+    for number in range(50):
+        assert sends(driver.ask(number, cost_us=None, memory_mb=None))
+        driver.end(number, Out.OK)
+
+
+def test_a_restarted_gateway_serves_from_a_stale_list_during_a_burst() -> None:
+    driver = Driver(settings(), engine("gone"), engine("a"))
+    for number in range(40):
+        driver.ask(number)
+        while number in driver.gateway.queries and where(driver, number) == "gone":
+            last = len(sends(driver.actions, number)) - 1
+            driver.end(number, Out.CONNECT_FAILED, attempt=last)
+        driver.now += 20_000
+        if number in driver.gateway.queries:
+            driver.end(number, Out.OK, attempt=len(sends(driver.actions, number)) - 1)
+    assert sum(s.engine == "gone" for s in sends(driver.actions)) <= 2
+    assert not [n for n in range(40) if answers(driver.actions, n)]
+
+
+def test_late_repeated_and_stray_outcomes_change_nothing() -> None:
+    driver = fleet()
+    driver.ask(1)
+    driver.end(1, Out.OK)
+    assert driver.end(1, Out.OK) == driver.end(1, Out.ERROR, attempt=5) == []
+    assert all(e.threads == e.heavy_threads == 0 for e in driver.gateway.engines.values())
+
+
+def test_a_failed_list_call_is_made_again_after_a_pause() -> None:
+    driver = Driver(settings(list_on_request=True), engine("a"))
+    assert api.WatchList(True) in driver.actions
+    failed = driver.name_engines(kind=api.ListKind.FAILED)
+    timers = [a for a in failed if isinstance(a, api.SetTimer)]
+    assert len(timers) == 1 and timers[0].at_us > driver.now
+    assert api.WatchList(True) in driver.tell(api.TimerFired(timers[0].token))
+
+
+def test_grants_follow_what_answers_tell() -> None:
+    given = settings(grants_heeded=True, tells_cost=True)
+    driver = Driver(given, engine("a"))
+    for number in range(60):
+        driver.ask(number, memory_mb=100.0)
+        driver.end(number, Out.OK, memory_mb=300.0, work_ms=100.0)
+    terms = [a for a in driver.actions if isinstance(a, api.SetTerms)]
+    assert 290 <= terms[-1].grant_mb <= 420
+
+
+def test_short_classes_have_priority_where_it_is_heeded() -> None:
+    long = query_class("long", threads=2, aim_us=20 * SECOND)
+    driver = Driver(settings(query_class(), long, priorities_heeded=True), engine("a"))
+    driver.learn()
+    driver.learn("long", count=25, first=20_000, cost_us=2.0 * SECOND)
+    driver.ask(1)
+    driver.ask(2, "long", cost_us=2.0 * SECOND)
+    terms = {a.query: a.priority for a in driver.actions if isinstance(a, api.SetTerms)}
+    assert terms[1] > terms.get(2, 1)  # one that is never set has 1
+
+
+def test_half_of_the_fleet_added_at_once_is_used() -> None:
+    driver = fleet(2)
+    driver.name_engines(*(engine(f"new{n}") for n in range(2)), kind=api.ListKind.DELTA)
+    first = len(driver.actions)
+    for number in range(100):
+        driver.ask(number)
+        driver.end(number, Out.OK)
+        driver.now += 50_000
+    assert len({s.engine for s in sends(driver.actions[first:])}) == 4
