--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -337,9 +337,7 @@
             return True
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
-        age = max(0.0, 1 - (engine.cold_until - self.now) / max(1, s.cold_us))  # 0 at its start, 1 when warm
-        able = s.start_capacity + (1 - s.start_capacity) * age**2  # its progress is not told: below a line
-        budget = SAFE_PART * s.tip_multiple * able * engine.cores * s.tip_after_us / self.fleet
+        budget = SAFE_PART * s.tip_multiple * s.start_capacity * engine.cores * s.tip_after_us / self.fleet
         work = query.cls.work_us() or budget
         return sum(w for _, w in engine.cold_sent) + work <= budget
 
