--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -9,7 +9,6 @@
 from functools import singledispatchmethod
 from heapq import heappop, heappush
 from random import Random
-from zlib import crc32
 
 from whintrail import interface as api
 
@@ -36,7 +35,6 @@
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
-HOMES, HOME_WEIGHT = 2, 4.0  # engines that all gateways prefer for the same tables, and by how much
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
 SILENT_US = 500_000  # least time without any sign of life before an engine is called silent
@@ -243,7 +241,7 @@
             heappush(lane, (query.due, query.id, query))
         if not usable or not self._turn(query):
             return False
-        self._send(query, self._draw(query, usable))
+        self._send(query, self._draw(usable))
         return True
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
@@ -276,16 +274,13 @@
         load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
         return (self.mean_load if load is None else load) + engine.sent_since(self.now)
 
-    def _draw(self, query: Query, engines: list[Engine]) -> Engine:
-        """At random, weighted against reported load and our sends since, leaning to warm tables."""
-        weights, homes = [], []
-        if query.tables is not None and not query.cls.settings.is_load:
-            homes = sorted(self.engines.values(), key=lambda e: crc32(f"{query.tables} {e.address}".encode()))
+    def _draw(self, engines: list[Engine]) -> Engine:
+        """At random, weighted against reported load and our sends since."""
+        weights = []
         for e in engines:
             weight = e.cores * (LOAD_FLOOR + self._load(e)) ** -DRAW_POWER
             weight *= max(0.02, 1 - e.error_rate(self.now)) ** 4
             weight *= min(1.0, self.stretch / e.stretch) ** 2
-            weight *= HOME_WEIGHT if e in homes[:HOMES] else 1.0
             weights.append(weight * (0.1 if e.fails else 1.0))
         return self.random.choices(engines, weights)[0]
 
