Measure best latency as the best of a smoothed one, and call 1.7 times it pressure

Cause: with scattered estimates single lucky answers set the best, so that calm engines looked pressed.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -18,7 +18,8 @@
 LEARN_QUERIES = 20  # until a class has seen so many, all of it counts as light
 MEAN_MEMORY = 500  # the running mean looks back over about so many queries
 # --- Pressure: what makes the heavy bound bind.
-PRESSED_STRETCH = 2.5  # latency this many times the class's best: threads clearly share cores
+PRESSED_STRETCH = 1.7  # latency this many times the class's best: threads clearly share cores
+BEST_OVER, BEST_RISE = 20, 1.0005  # answers that "best" is smoothed over; it rises slowly, lest it grow stale
 BUSY_UTILISATION = 0.95  # cores all but full
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
 BUSY_MEMORY = 0.95  # share of memory granted: the next grant spills or waits
@@ -101,8 +102,9 @@
 
     def __init__(self, settings: api.QueryClass) -> None:
         self.settings = settings
-        self.seen = self.costs = self.memories = self.grants = 0
+        self.seen = self.costs = self.memories = self.grants = self.answered = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
+        self.recent = 0.0  # elapsed time against the estimate, of late
         self.best, self.grant = (
             1.0,
             1.25,
@@ -474,7 +476,9 @@
             return
         engine.fails = 0
         ratio = self._stretch(query, engine, event.elapsed_us)
-        cls.best *= 0.97 if ratio < cls.best else 1.005
+        cls.answered += 1  # the best of a smoothed latency: estimates scatter, single lucky ones say nothing
+        cls.recent += (min(ratio, 5 * (cls.recent or ratio)) - cls.recent) / min(cls.answered, BEST_OVER)
+        cls.best = min(cls.best * BEST_RISE, cls.recent) if cls.answered > BEST_OVER else cls.recent
         if event.work_ms and query.cost_us:
             told = event.work_ms * 1000 / query.cost_us
             cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
