Count memory as busy from 0.7 granted; move from three times the usual, up to four sends

Cause: on engines that shrink grants the last of the memory goes between two reports, and what comes then spills.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -22,7 +22,7 @@
 BEST_OVER, BEST_RISE = 20, 1.0005  # answers that "best" is smoothed over; it rises slowly, lest it grow stale
 BUSY_UTILISATION = 0.95  # cores all but full
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
-BUSY_MEMORY = 0.95  # share of memory granted: the next grant spills or waits
+BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
 BRIM = 0.8  # our light threads, beside the heavy ones, per core of our share: beyond it a jam feeds itself
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
@@ -47,8 +47,8 @@
 PROBES_PER_QUERY = 0.35  # probing stays well under one a query, which is what probes are priced by
 PROBE_US, PROBE_MOST_US = 400_000, 3_000_000  # shortest and longest time between probes of an engine
 # --- Further attempts.
-RUNAWAY = 4.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
-MOST_SENDS = 3  # nothing is moved more often: the trouble is then not in the plan or in one engine
+RUNAWAY = 3.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
+MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
 SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
@@ -208,8 +208,7 @@
         """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES:
-            heavy = query.cost_us is not None and query.cost_us > BAR * cls.cost_us
-            heavy = heavy or (query.memory_mb is not None and query.memory_mb > BAR * cls.memory_mb)
+            heavy = (query.cost_us or 0) > BAR * cls.cost_us or (query.memory_mb or 0) > BAR * cls.memory_mb
             heavy = heavy and query.span_us > SHORT * self._mean_span_us()
         cls.seen += 1
         if query.cost_us is not None:
@@ -524,8 +523,7 @@
         if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
             return
         attempt.share, attempt.engine.alive_at = event.value, self.now
-        age = self.now - attempt.sent_at
-        total = age / max(event.value, 0.02)
+        total = (self.now - attempt.sent_at) / max(event.value, 0.02)
         finish, fresh = attempt.sent_at + total, self._expected_us(query)
         if query.cls.settings.effect is not api.Effect.REPEATABLE or finish <= query.aim_at:
             return
