Judge pressure as if other gateways sent alike, so that no engine is stampeded

Cause: a returned engine looks idle to every gateway at once; eight of them sent all their held queries within one report. Covers restarts, report gaps and fleets of many small gateways. May hold back a gateway whose share is underrated.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -13,8 +13,7 @@
 from whintrail import interface as api
 
 # --- The design's own figures.
-BAR = 0.25  # heavy above this many times the class's running mean estimate, and above SHORT
-SHORT = 1.0  # below this many times the mean over all classes a query is too short to be worth holding
+BAR = 0.25  # heavy above so many times the class's mean; what is under the mean of all is too short to hold
 LEARN_QUERIES = 20  # until a class has seen so many, all of it counts as light
 MEAN_MEMORY = 500  # the running mean looks back over about so many queries
 # --- Pressure: what makes the heavy bound bind.
@@ -209,7 +208,7 @@
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES:
             heavy = (query.cost_us or 0) > BAR * cls.cost_us or (query.memory_mb or 0) > BAR * cls.memory_mb
-            heavy = heavy and query.span_us > SHORT * self._mean_span_us()
+            heavy = heavy and query.span_us > self._mean_span_us()
         cls.seen += 1
         if query.cost_us is not None:
             cls.costs += 1
@@ -262,7 +261,8 @@
             return True
         report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
         memory = report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY)
-        return bool(memory) or self._load(engine) > engine.busy_at
+        others = engine.sent_since(self.now) * (1 / self.share - 1)  # they see what we see, and send alike
+        return bool(memory) or self._load(engine) + others > engine.busy_at
 
     def _usable(self, engine: Engine, healthy: bool) -> bool:
         """Failed engines come back one query at a time; full ones and failing ones rest a while."""
