Let a cold engine's budget grow with the square of its age, three quarters of the multiple

Cause: during a release a third of the engines stood all but idle for the whole stated warm-up. Covers crashes and fleets that are replaced; would hurt where engines warm far slower than stated.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -23,15 +23,9 @@
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
 BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
-BRIM = (
-    1.25  # all our threads per core of our share: threads that read leave room; beyond it a jam feeds itself
-)
+BRIM = 1.25  # all our threads per core of our share; threads that read leave room, more feed a jam
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
-WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = (
-    0.01,
-    0.5,
-    2.0,
-)  # bounds move by latency: threads that read leave cores free
+WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
 # --- The draw.
 LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
@@ -52,7 +46,7 @@
 MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
-SAFE_PART = 0.5  # part of the stated multiple that we use: speed, cores in use and chance are unknown
+SAFE_PART = 0.75  # part of the stated multiple that we use: speed and chance are unknown
 SWEEP_US, WATCH_US = 50_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
 GRANT_QUANTILE, GRANT_STEP = 0.85, 0.05  # grants cover this share of the queries; how fast they follow
@@ -340,7 +334,11 @@
             return True
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
-        budget = SAFE_PART * s.tip_multiple * s.start_capacity * engine.cores * s.tip_after_us / self.fleet
+        age = max(0.0, 1 - (engine.cold_until - self.now) / max(1, s.cold_us))  # 0 at its start, 1 when warm
+        able = (
+            s.start_capacity + (1 - s.start_capacity) * age**2
+        )  # how it warms is not told: stay below a line
+        budget = SAFE_PART * s.tip_multiple * able * engine.cores * s.tip_after_us / self.fleet
         work = query.cls.work_us() or budget
         return sum(w for _, w in engine.cold_sent) + work <= budget
 
