Take expected times from how each class fares of late

Cause: short queries with priority keep the common latency low while long ones are squeezed everywhere; they were called off as runaways and restarted in vain. An elapsed time of zero no longer makes a best of zero. May be late to move the first bad plans of a class that already fares badly.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -250,3 +250,24 @@
         driver.ask(number)
     assert driver.gateway._pressed(driver.gateway.engines["a"])
     assert len(sends(driver.actions)) - 40 < 8
+
+
+def test_answers_in_no_time_and_estimates_of_zero_do_no_harm() -> None:
+    driver = Driver(settings(), engine("a"), engine("b"))
+    for number in range(60):
+        driver.ask(number, cost_us=0.0, memory_mb=0.0)
+        driver.end(number, Out.OK, elapsed_us=0)
+    assert len(sends(driver.actions)) == 60
+
+
+def test_a_whole_class_that_fares_badly_is_not_moved_about() -> None:
+    """Long queries may be squeezed everywhere while short ones, which have priority, look well."""
+    driver = fleet()
+    for number in range(60):
+        driver.ask(number, cost_us=1.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+        driver.now += 4 * SECOND
+        driver.end(number, Out.OK, elapsed_us=4 * SECOND)
+    driver.ask(100, cost_us=1.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+    driver.now += SECOND
+    note = api.AttemptNote(100, 0, where(driver, 100), api.Topic.PROGRESS, 0.2)
+    assert not [a for a in driver.tell(note) if isinstance(a, api.CancelAttempt)]
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -93,13 +93,11 @@
 
 
 class ClassState:
-    """Running figures of one class."""
-
     def __init__(self, settings: api.QueryClass) -> None:
         self.settings = settings
         self.seen = self.costs = self.memories = self.grants = self.answered = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
-        self.recent = 0.0  # elapsed time against the estimate, of late
+        self.recent = 1.0  # elapsed time against the estimate, of late
         self.best, self.grant = (
             1.0,
             1.25,
@@ -112,8 +110,6 @@
 
 
 class Attempt:
-    """One send of a query."""
-
     def __init__(self, number: int, engine: Engine, now: int, expected_us: float, heavy: bool) -> None:
         self.number, self.engine, self.sent_at = number, engine, now
         self.expected_us, self.heavy = expected_us, heavy
@@ -243,7 +239,7 @@
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
         heavy = engine.heavy_threads
-        if query.heavy and self.now + query.span_us * query.cls.best * engine.stretch > query.due:
+        if query.heavy and self.now + self._expected_us(query, engine) > query.due:
             return False  # it could not finish in time there
         used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
         bound *= engine.width * engine.cores * self.share
@@ -281,8 +277,9 @@
             weights.append(weight * (0.1 if e.fails else 1.0))
         return self.random.choices(engines, weights)[0]
 
-    def _expected_us(self, query: Query) -> float:
-        return query.span_us * query.cls.best * self.stretch
+    def _expected_us(self, query: Query, engine: Engine | None = None) -> float:
+        """As its class fares of late; on a given engine, as that stands against the others."""
+        return query.span_us * query.cls.recent * (engine.stretch / self.stretch if engine else 1.0)
 
     # --- The gate that every send passes: the rules.
 
@@ -474,10 +471,7 @@
         if outcome is not api.Outcome.OK:
             return
         engine.fails = 0
-        ratio = self._stretch(query, engine, event.elapsed_us)
-        cls.answered += 1  # the best of a smoothed latency: estimates scatter, single lucky ones say nothing
-        cls.recent += (min(ratio, 5 * (cls.recent or ratio)) - cls.recent) / min(cls.answered, BEST_OVER)
-        cls.best = min(cls.best * BEST_RISE, cls.recent) if cls.answered > BEST_OVER else cls.recent
+        self._stretch(query, engine, event.elapsed_us)
         if event.work_ms and query.cost_us:
             told = event.work_ms * 1000 / query.cost_us
             cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
@@ -487,13 +481,16 @@
             step = max(GRANT_STEP, 1 / (1 + cls.grants / 4))
             cls.grant *= 1 + step * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
 
-    def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> float:
+    def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> None:
         """An elapsed time against the estimate; what was called off counts too, else a jam looks quick."""
-        ratio = elapsed_us / max(query.span_us, 5_000.0)
-        engine.stretch += STRETCH_GAIN * (min(ratio / query.cls.best, 10.0) - engine.stretch)
+        ratio, cls = max(elapsed_us, 1) / max(query.span_us, 5_000.0), query.cls
+        cls.answered += 1  # the best of a smoothed latency: estimates scatter, single lucky ones say nothing
+        ratio = min(ratio, 5 * cls.recent) if cls.answered > 1 else ratio
+        cls.recent += (ratio - cls.recent) / min(cls.answered, BEST_OVER)
+        cls.best = min(cls.best * BEST_RISE, cls.recent) if cls.answered > BEST_OVER else cls.recent
+        engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
         step = WIDTH_STEP if engine.stretch < PRESSED_STRETCH else -WIDTH_STEP
         engine.width = min(WIDTH_MOST, max(WIDTH_LEAST, engine.width + step))
-        return ratio
 
     def _down(self, engine: Engine) -> None:
         """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
