--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -241,8 +241,7 @@
         heavy = engine.heavy_threads
         if query.heavy and self.now + self._expected_us(query, engine) > query.due:
             return False  # it could not finish in time there
-        brim = BRIM if query.span_us < self._mean_span_us() / 2 else 1.0
-        used, bound = (heavy, 1.0) if query.heavy else (engine.threads, brim)
+        used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
         bound *= engine.width * engine.cores * self.share
         if not self._pressed(engine) or used + query.threads <= bound:
             return True
