--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -23,7 +23,7 @@
 BUSY_HELD = 1.5  # queries held per core: more run than there are cores
 BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
-BRIM = 1.5  # all our threads per core of our share; threads that read leave room, more feed a jam
+BRIM = 1.4  # all our threads per core of our share; threads that read leave room, more feed a jam
 SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
 # --- The draw.
