Keep what a dead engine held out of the latency of its class

Cause: attempts called off at a silent engine each counted as a very long answer, so expected times grew many times over and the rest was refused as too late. Covers crashes, hangs and cut links.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -272,3 +272,14 @@
     driver.now += SECOND
     note = api.AttemptNote(100, 0, where(driver, 100), api.Topic.PROGRESS, 0.25)
     assert not [a for a in driver.tell(note) if isinstance(a, api.CancelAttempt)]
+
+
+def test_what_a_dead_engine_held_does_not_make_all_else_look_too_late() -> None:
+    driver = fleet()
+    recent = driver.gateway.classes["short"].recent
+    for number in range(40):
+        driver.ask(number)
+        driver.now += 30_000
+    driver.wait(3 * SECOND)  # nothing answers: all is called off
+    assert [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
+    assert driver.gateway.classes["short"].recent == recent
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -482,7 +482,8 @@
             cls.grant *= 1 + step * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
 
     def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> None:
-        """An elapsed time against the estimate; what was called off counts too, else a jam looks quick."""
+        """An elapsed time against the estimate; runaways count too, else a jam looks quick, but not
+        what a dead engine held: that tells of no other engine, and had all else refused as late."""
         ratio, cls = max(elapsed_us, 1) / max(query.span_us, 5_000.0), query.cls
         cls.answered += 1  # the best of a smoothed latency: estimates scatter, single lucky ones say nothing
         ratio = min(ratio, 5 * cls.recent) if cls.answered > 1 else ratio
@@ -508,7 +509,6 @@
         room = len(query.attempts) < min(MOST_SENDS, s.max_attempts or MOST_SENDS)
         if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
-            self._stretch(query, attempt.engine, self.now - attempt.sent_at)
             attempt.moving = True
             self.moving += 1
 
@@ -525,6 +525,7 @@
         if query.cls.settings.effect is not api.Effect.REPEATABLE or finish <= query.aim_at:
             return
         if total > RUNAWAY * fresh and self.now + fresh < min(finish, query.give_up):
+            self._stretch(query, attempt.engine, self.now - attempt.sent_at)
             self._elsewhere(query, attempt)
 
     @_on.register
