Judge silence by a class's usual time, from one second, and never for over half of the fleet

Cause: one short query stuck among long ones made an engine look silent, and each engine rested so burdened the rest. Covers jams and slow fleets; a fleet of which more than half hangs is not rested.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -33,7 +33,7 @@
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
-SILENT_US = 500_000  # least time without any sign of life before an engine is called silent
+SILENT_US = 1_000_000  # least time without any sign of life before an engine is called silent
 PATIENCE = 6.0  # times the expected time of an attempt before its silence tells against the engine
 NOTES_MISSED = 3.2  # or so many progress notes that did not come
 ERRORS_MOST = 0.3  # an engine that fails more of its queries is left alone while others do not
@@ -57,8 +57,6 @@
 
 
 class Engine:
-    """What this gateway knows of one engine."""
-
     def __init__(self, address: str) -> None:
         self.address = address
         self.cores, self.kind, self.zone, self.cell = 1.0, "", "", 0
@@ -97,11 +95,8 @@
         self.settings = settings
         self.seen = self.costs = self.memories = self.grants = self.answered = 0
         self.cost_us = self.memory_mb = 0.0  # running mean estimates
-        self.recent = 1.0  # elapsed time against the estimate, of late
-        self.best, self.grant = (
-            1.0,
-            1.25,
-        )  # elapsed time at best, and memory to ask for, against the estimates
+        self.recent = self.best = 1.0  # elapsed time against the estimate: of late, and at best
+        self.grant = 1.25  # memory to ask for against the estimate
         self.told_work = 0.0  # work that answers told against the estimate; 0: never told
 
     def work_us(self) -> float:
@@ -146,8 +141,6 @@
 
 
 class Gateway:
-    """One instance of the query gateway."""
-
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.settings, self.random, self.now = settings, Random(seed), now
         self.actions: list[api.Action] = []
@@ -357,7 +350,8 @@
             query.terms = terms
             self.actions.append(api.SetTerms(query.id, *terms))
         self.actions.append(api.Send(query.id, engine.address, 0))
-        attempt = Attempt(len(query.attempts), engine, self.now, self._expected_us(query), query.heavy)
+        usual = max(query.span_us, query.cls.work_us() / query.threads) * query.cls.recent
+        attempt = Attempt(len(query.attempts), engine, self.now, usual, query.heavy)
         if query.attempts:
             self.further.append(self.now)
         query.attempts.append(attempt)
@@ -586,8 +580,10 @@
         listed = [e for e in self.engines.values() if e.state is api.EngineState.READY]
         for engine in self.engines.values():
             engine.stretch += (1.0 - engine.stretch) * SWEEP_US / STRETCH_FADE_US
-            if engine.running and self._silent(engine):
-                self._down(engine)
+            if sum(e.fails > 0 for e in listed) * 2 <= len(listed) and self._silent(engine):
+                self._down(
+                    engine
+                )  # half of the fleet silent: then it is no engine's fault, and none is shut out
         if listed:
             self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
             fresh = [e for e in listed if self.now - e.report_at <= REPORT_AGE_US]
