Bound lone queries over the whole fleet, keep the weights, probe by traffic, cold engines by turns

Cause: with 200 gateways a gateway's part of an engine is under one query, so the lone query that each may place on every engine made jams by itself; probes came at a fixed pace (three a query); cold engines were shut out, as one query was over the part; latency of an engine was never sampled. Now: where our part is under one query, our part of the fleet bounds the lone ones; weights are kept and an engine is drawn, then checked; a held query looks only at the engine that changed; probes go to the engine longest unheard, 0.35 to 1 a query; an engine seldom heard of fares as the fleet does; the draw leans to heard engines while most are unheard; on cold engines gateways take turns. Plain records moved to state.py. Learned grants went: they had brought noise. Also covers a gateway that restarts into a large fleet; may hurt where one gateway carries far more than its share until the share is learned.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -1,16 +1,17 @@
-"""Every decision of the gateway. Types, events and actions are in whintrail/interface.py.
+"""Every decision of the gateway. Types, events and actions: whintrail/interface.py; plain records: state.py.
 
 Pure: settings, a seed and events with their time in, actions out. The ordinary path is that of
-docs/design.md: label, gate heavy queries under pressure, draw an engine against reported load.
-"""
+docs/design.md: label, gate heavy queries under pressure, draw an engine against reported load."""
 
 import math
 from collections import deque
 from functools import singledispatchmethod
 from heapq import heappop, heappush
+from itertools import accumulate
 from random import Random
 
 from whintrail import interface as api
+from whintrail.state import Attempt, ClassState, Engine, Line, Query, Sent
 
 # --- The design's own figures.
 BAR = 0.25  # heavy above so many times the class's mean; what is under the mean of all is too short to hold
@@ -24,13 +25,15 @@
 BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
 BRIM = 1.4  # all our threads per core of our share; threads that read leave room, more feed a jam
-SHARE_GAIN = 0.02  # how fast this gateway's share of the work follows the reports
+SHARE_GAIN = 0.08  # how fast this gateway's share of the work follows the reports
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
 # --- The draw.
 LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
+STAMPEDE = 4.0  # others send at most so many times the mean where we do; they may have heard of other engines
+HEARD_US, UNHEARD_WEIGHT = 1_000_000, 0.1  # where most of a large fleet is unheard, lean to what is heard
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
 SILENT_US = 1_000_000  # least time without any sign of life before an engine is called silent
@@ -39,105 +42,53 @@
 ERRORS_MOST = 0.3  # an engine that fails more of its queries is left alone while others do not
 ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one error, and how fast its memory fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
-PROBES_PER_QUERY = 0.35  # probing stays well under one a query, which is what probes are priced by
-PROBE_US, PROBE_MOST_US = 400_000, 3_000_000  # shortest and longest time between probes of an engine
+WHOLE_GAIN = 0.05  # and for the fleet's as a whole, where an answer counts for at most twice the usual
+PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
+PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
 # --- Further attempts.
 RUNAWAY = 3.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
 MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
 SAFE_PART = 0.75  # part of the stated multiple that we use: speed and chance are unknown
-SWEEP_US, WATCH_US = 50_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
+SLOT = 0.33  # of a window: when one query is more than our part, gateways take turns by slots so long
+SWEEP_US, WATCH_US = 100_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
+REFRESH_US, DRAWS = 200_000, 3  # weights are at most so old; draws before all engines are looked through
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
-GRANT_QUANTILE, GRANT_STEP = 0.85, 0.05  # grants cover this share of the queries; how fast they follow
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 MAY_STILL_RUN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.UNKNOWN)
 SWEEP, WATCH = "sweep", "watch"
 
 
-class Engine:
-    def __init__(self, address: str) -> None:
-        self.address = address
-        self.cores, self.kind, self.zone, self.cell = 1.0, "", "", 0
-        self.state, self.cold_until = api.EngineState.GONE, 0
-        self.cold_sent: deque[tuple[int, float]] = deque()  # (time, usual work) sent while cold
-        self.running: dict[tuple[int, int], Attempt] = {}
-        self.threads = self.heavy_threads = 0
-        self.report: api.LoadReport | None = None
-        self.load: float | None = None  # reported, with the level that counts as busy
-        self.busy_at, self.report_at = BUSY_HELD, -REPORT_AGE_US
-        self.since, self.since_at = 0.0, 0
-        self.stretch, self.errors, self.errors_at = 1.0, 0.0, 0
-        self.width = 1.0  # the bounds against their first values
-        self.fails, self.down_until, self.alive_at, self.full_at = 0, 0, 0, -FULL_REST_US
-        self.probe_at, self.probing = 0, False
-
-    def sent_since(self, now: int) -> float:
-        self.since *= math.exp((self.since_at - now) / SINCE_US)
-        self.since_at = now
-        return self.since
-
-    def error_rate(self, now: int) -> float:
-        return self.errors * math.exp((self.errors_at - now) / ERROR_FADE_US)
-
-    def heard(self, now: int, report: api.LoadReport | None) -> None:
-        if report is not None:
-            self.report, self.report_at = report, now
-            if report.utilisation is not None:
-                self.load, self.busy_at = report.utilisation, BUSY_UTILISATION
-            elif report.held is not None:
-                self.load, self.busy_at = report.held / self.cores, BUSY_HELD
-
-
-class ClassState:
-    def __init__(self, settings: api.QueryClass) -> None:
-        self.settings = settings
-        self.seen = self.costs = self.memories = self.grants = self.answered = 0
-        self.cost_us = self.memory_mb = 0.0  # running mean estimates
-        self.recent = self.best = 1.0  # elapsed time against the estimate: of late, and at best
-        self.grant = 1.25  # memory to ask for against the estimate
-        self.told_work = 0.0  # work that answers told against the estimate; 0: never told
-
-    def work_us(self) -> float:
-        """The usual work of the class; 0 while nothing is known."""
-        return self.cost_us * (self.told_work or 1.0)
-
-
-class Attempt:
-    def __init__(self, number: int, engine: Engine, now: int, expected_us: float, heavy: bool) -> None:
-        self.number, self.engine, self.sent_at = number, engine, now
-        self.expected_us, self.heavy = expected_us, heavy
-        self.outcome: api.Outcome | None = None
-        self.cancelled = self.moving = False
-        self.share = 0.0  # done, as notes tell
-
-
-class Query:
-    """A query from its arrival until it is answered and no attempt of it is out."""
-
-    def __init__(self, event: api.QueryArrived, cls: ClassState, now: int) -> None:
-        self.id, self.cls, self.key, self.tables = event.query, cls, event.key, event.tables
-        self.cost_us, self.memory_mb, self.give_up = event.cost_us, event.memory_mb, event.give_up_us
-        self.threads = max(1, cls.settings.threads)
-        cost = event.cost_us if event.cost_us is not None else cls.cost_us or cls.settings.aim_us / 4
-        self.span_us = cost * (cls.told_work or 1.0) / self.threads  # alone on its threads
-        self.aim_at = now + cls.settings.aim_us + cls.settings.aim_stretch * self.span_us
-        self.due = min(self.aim_at, event.give_up_us)
-        self.heavy = self.done = False
-        self.attempts: list[Attempt] = []
-        self.out = 0
-        self.terms: tuple[float, int] = (0, 1)  # the engine's choice, the usual priority
-
-    def exposed(self) -> Attempt | None:
-        """The first attempt that may have run."""
-        return next((a for a in self.attempts if a.outcome not in NEVER_RAN), None)
-
-
-class Line(deque[Query]):
-    """Queries of one key in the order taken, and how long the key must rest."""
-
-    rest_until = 0
+def sent_since(sent: Sent, now: int) -> float:
+    """Our threads since reports had time to show them, a core of the engine or in all."""
+    sent.since *= math.exp((sent.since_at - now) / SINCE_US)
+    sent.since_at = now
+    return sent.since
+
+
+def error_rate(engine: Engine, now: int) -> float:
+    return engine.errors * math.exp((engine.errors_at - now) / ERROR_FADE_US) if engine.errors else 0.0
+
+
+def heard(engine: Engine, now: int, report: api.LoadReport | None) -> None:
+    if report is not None:
+        engine.report, engine.report_at = report, now
+        if report.utilisation is not None:
+            engine.load, engine.busy_at = max(0.0, report.utilisation), BUSY_UTILISATION
+        elif report.held is not None:
+            engine.load, engine.busy_at = max(0.0, report.held) / engine.cores, BUSY_HELD
+
+
+def work_us(cls: ClassState) -> float:
+    """The usual work of the class; 0 while nothing is known."""
+    return cls.cost_us * (cls.told_work or 1.0)
+
+
+def first_exposed(query: Query) -> Attempt | None:
+    """The first attempt that may have run."""
+    return next((a for a in query.attempts if a.outcome not in NEVER_RAN), None)
 
 
 class Gateway:
@@ -153,13 +104,19 @@
         self.taken, self.further = deque[int](), deque[int]()
         self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
         self.moving = 0  # attempts cancelled so that others take their place
+        self.ready: list[Engine] = []  # engines that the list calls ready, kept in step with it
+        self.phase = self.random.random()  # our turn among the gateways
+        self.whole = Sent()  # what is kept of an engine, of all together
+        self.healthy = self.sparse = False  # some engine is well; most are unheard
+        self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
+        self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
+        self.mean_span_us = 0.0  # cost per thread over all classes
         self.stretch, self.mean_load = 1.0, 0.0  # the fleet's usual latency against the best, and load
         self.fleet = max(1, settings.fleet_size)
         self.share = 1.0 / self.fleet  # of the fleet's work, this gateway's part
 
     def start(self) -> list[api.Action]:
-        watch = [api.WatchList(True)] if self.settings.list_on_request else []
-        return [api.SetTimer(SWEEP, self.now + SWEEP_US), *watch]
+        return [api.SetTimer(SWEEP, self.now), *([api.WatchList(True)] * self.settings.list_on_request)]
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
@@ -174,12 +131,15 @@
 
     @_on.register
     def _arrived(self, event: api.QueryArrived) -> None:
-        if (
-            cls := self.classes.get(event.class_name)
-        ) is None:  # a class that the settings do not name: nothing is known of its effects
+        if (cls := self.classes.get(event.class_name)) is None:  # nothing is known of its effects
             self.actions.append(api.Fail(event.query))
             return
-        query = Query(event, cls, self.now)
+        threads, cost = max(1, cls.settings.threads), event.cost_us
+        cost = cost if cost is not None else cls.cost_us or cls.settings.aim_us / 4
+        span = cost * (cls.told_work or 1.0) / threads  # alone on its threads
+        aim = self.now + cls.settings.aim_us + cls.settings.aim_stretch * span
+        known = (event.key, event.cost_us, event.memory_mb, event.give_up_us)
+        query = Query(event.query, cls, *known, threads, span, aim, min(aim, event.give_up_us))
         query.heavy = self._label(query)
         self.queries[query.id] = query
         self.taken.append(self.now)
@@ -193,7 +153,7 @@
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES:
             heavy = (query.cost_us or 0) > BAR * cls.cost_us or (query.memory_mb or 0) > BAR * cls.memory_mb
-            heavy = heavy and query.span_us > self._mean_span_us()
+            heavy = heavy and query.span_us > self.mean_span_us
         cls.seen += 1
         if query.cost_us is not None:
             cls.costs += 1
@@ -201,44 +161,68 @@
         if query.memory_mb is not None:
             cls.memories += 1
             cls.memory_mb += (query.memory_mb - cls.memory_mb) / min(cls.memories, MEAN_MEMORY)
+        spans = [(work_us(c) / max(1, c.settings.threads), c.seen) for c in self.classes.values()]
+        self.mean_span_us = sum(span * seen for span, seen in spans) / sum(seen for _, seen in spans)
         return heavy
 
-    def _mean_span_us(self) -> float:
-        """Mean cost per thread over all classes."""
-        total = sum(c.work_us() / max(1, c.settings.threads) * c.seen for c in self.classes.values())
-        return total / max(1, sum(c.seen for c in self.classes.values()))
-
-    def _place(self, query: Query) -> bool:
+    def _place(self, query: Query, only: Engine | None = None) -> bool:
         """Send the query, end it, or hold it (False)."""
-        if not self._query_may(query):
-            if not query.done and not query.out:
-                self._end(query)
+        if query.done or (query.out and not self._query_may(query)):
             return True
-        ready = [e for e in self.engines.values() if self._engine_may(query, e)]
-        tried = [a.engine for a in query.attempts]
-        healthy = any(e.fails == 0 and e.error_rate(self.now) < ERRORS_MOST for e in ready)
-        usable = [e for e in ready if self._usable(e, healthy) and self._has_room(query, e)]
-        usable = [e for e in usable if e not in tried] or usable
-        if self.now >= query.give_up - LAST_CALL_US:  # guards against a try that comes all but too late
-            self._end(query)
-        elif self._turn(query) and not usable:
+        if self.now >= query.give_up - LAST_CALL_US or not self._query_may(query):
+            self._end(query)  # also guards against a try that comes all but too late
+            return True
+        if not self._turn(query):
+            return False
+        if (engine := self._choose(query, only)) is None:
             lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
             heappush(lane, (query.due, query.id, query))
-        if not usable or not self._turn(query):
             return False
-        self._send(query, self._draw(usable))
+        self._send(query, engine)
         return True
 
+    def _choose(self, query: Query, only: Engine | None) -> Engine | None:
+        """Drawn from the engines that take the query, of those not tried before if there are any. Most often
+        the first one drawn fits, and no fleet is ranked; given one that has changed, it alone is asked."""
+        tried = [a.engine for a in query.attempts]
+        if only:
+            return only if only not in tried and self._takes(query, only) else None
+        self._refresh()
+        if self.ready and self.sums is None:
+            self.sums = list(accumulate(e.weight for e in self.ready))
+        for _ in range(DRAWS if self.ready else 0):
+            engine = self.random.choices(self.ready, cum_weights=self.sums)[0]
+            if engine not in tried and self._takes(query, engine):
+                return engine
+        usable = [e for e in self.ready if self._takes(query, e)]
+        usable = [e for e in usable if e not in tried] or usable
+        return self.random.choices(usable, [e.weight for e in usable])[0] if usable else None
+
+    def _takes(self, query: Query, engine: Engine) -> bool:
+        """Failed engines come back one query at a time; full ones and failing ones rest a while."""
+        if engine.fails:
+            usable = self.now >= engine.down_until and not (self.healthy and engine.running)
+        else:
+            usable = not self.healthy or error_rate(engine, self.now) < ERRORS_MOST
+            usable = usable and self.now - engine.full_at >= FULL_REST_US
+        return usable and self._engine_may(query, engine) and self._has_room(query, engine)
+
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
-        heavy = engine.heavy_threads
         if query.heavy and self.now + self._expected_us(query, engine) > query.due:
             return False  # it could not finish in time there
-        used, bound = (heavy, 1.0) if query.heavy else (engine.threads, BRIM)
-        bound *= engine.width * engine.cores * self.share
-        if not self._pressed(engine) or used + query.threads <= bound:
+        if not self._pressed(engine):
+            return True
+        scale, threads = (1.0 if query.heavy else BRIM) * self.share, query.threads
+        used, ours = (s.heavy_threads if query.heavy else s.threads for s in (engine, self.whole))
+        if used + threads <= scale * engine.width * engine.cores:
             return True
-        return used == 0 or (not query.heavy and used - heavy + query.threads <= 1)
+        if used and (query.heavy or used - engine.heavy_threads + threads > 1):
+            return False
+        # The lone query that is let in. Where our part of an engine is less than one query, the lone ones of
+        # many gateways would make a jam by themselves: then our part of the whole fleet bounds them.
+        small = engine.cores * self.share < threads
+        return not small or ours + threads <= max(threads, scale * self.whole.width * self.whole.cores)
 
     def _pressed(self, engine: Engine) -> bool:
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
@@ -246,29 +230,46 @@
             return True
         report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
         memory = report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY)
-        others = engine.sent_since(self.now) * (1 / self.share - 1)  # they see what we see, and send alike
+        most = STAMPEDE * sent_since(self.whole, self.now) / self.whole.cores
+        others = min(most, sent_since(engine, self.now)) * (1 / self.share - 1)  # they send alike
         return bool(memory) or self._load(engine) + others > engine.busy_at
 
-    def _usable(self, engine: Engine, healthy: bool) -> bool:
-        """Failed engines come back one query at a time; full ones and failing ones rest a while."""
-        if engine.fails:
-            return self.now >= engine.down_until and (not healthy or not engine.running)
-        failing = healthy and engine.error_rate(self.now) >= ERRORS_MOST
-        return not failing and self.now - engine.full_at >= FULL_REST_US
-
     def _load(self, engine: Engine) -> float:
         load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
-        return (self.mean_load if load is None else load) + engine.sent_since(self.now)
-
-    def _draw(self, engines: list[Engine]) -> Engine:
-        """At random, weighted against reported load and our sends since."""
-        weights = []
-        for e in engines:
-            weight = e.cores * (LOAD_FLOOR + self._load(e)) ** -DRAW_POWER
-            weight *= max(0.02, 1 - e.error_rate(self.now)) ** 4
-            weight *= min(1.0, self.stretch / e.stretch) ** 2
-            weights.append(weight * (0.1 if e.fails else 1.0))
-        return self.random.choices(engines, weights)[0]
+        return (self.mean_load if load is None else load) + sent_since(engine, self.now)
+
+    def _weigh(self, engine: Engine) -> None:
+        """Its part in the draw: against reported load and our sends since, then what tells of its health."""
+        weight = engine.cores * (LOAD_FLOOR + self._load(engine)) ** -DRAW_POWER
+        weight *= max(0.02, 1 - error_rate(engine, self.now)) ** 4
+        weight *= min(1.0, self.stretch / engine.stretch) ** 2
+        if self.sparse and self.now - engine.report_at > HEARD_US:
+            weight *= UNHEARD_WEIGHT
+        engine.weight = weight * (0.1 if engine.fails else 1.0)
+        self.sums = None
+
+    def _refresh(self) -> None:
+        """What is kept of the fleet as a whole, and every weight, from time to time."""
+        now, ready, passed = self.now, self.ready, self.now - self.refreshed_at
+        if passed < REFRESH_US or not ready:
+            return
+        self.refreshed_at = now
+        for e in ready:  # one that we seldom hear of fares as the others do
+            e.stretch += (self.whole.stretch - e.stretch) * min(1.0, passed / STRETCH_FADE_US)
+        self.stretch = sorted(e.stretch for e in ready)[len(ready) // 2]
+        self.healthy = any(e.fails == 0 and error_rate(e, now) < ERRORS_MOST for e in ready)
+        self.sparse = sum(now - e.report_at <= HEARD_US for e in ready) * 2 < len(ready)
+        fresh = [e for e in ready if now - e.report_at <= REPORT_AGE_US]
+        loads = [e.load for e in fresh if e.load is not None] or [0.0]
+        self.mean_load = sum(loads) / len(loads)
+        held = sum(e.report.held or 0 for e in fresh if e.report) * len(ready) / max(1, len(fresh))
+        if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
+            share = min(1.0, sum(len(e.running) for e in ready) / held)
+            self.share += min(1.0, SHARE_GAIN * passed / REFRESH_US) * (
+                max(share, 0.5 / self.fleet) - self.share
+            )
+        for e in ready:
+            self._weigh(e)
 
     def _expected_us(self, query: Query, engine: Engine | None = None) -> float:
         """As its class fares of late; on a given engine, as that stands against the others."""
@@ -283,7 +284,7 @@
             return False
         if not query.attempts:
             return True
-        most, exposed = settings.max_attempts, query.exposed()
+        most, exposed = settings.max_attempts, first_exposed(query)
         if (most is not None and len(query.attempts) >= most) or (query.out and not settings.second_copies):
             return False
         if exposed and cls.effect is not api.Effect.REPEATABLE:
@@ -309,11 +310,10 @@
         placed = placed and (cls.kinds is None or engine.kind in cls.kinds)
         if engine.state is not api.EngineState.READY or not placed:
             return False
-        exposed = query.exposed() if cls.effect is api.Effect.BY_KEY else None
-        if exposed and cls.group is not api.DedupGroup.ALL:
-            before = exposed.engine
-            by_cell = cls.group is api.DedupGroup.CELL
-            if engine.zone != before.zone or (by_cell and engine.cell != before.cell):
+        if cls.effect is api.Effect.BY_KEY and (exposed := first_exposed(query)):
+            before, group = exposed.engine, cls.group
+            same = engine.zone == before.zone and (group is api.DedupGroup.ZONE or engine.cell == before.cell)
+            if group is not api.DedupGroup.ALL and not same:
                 return False
         return self.now >= engine.cold_until or self._cold_room(query, engine)
 
@@ -325,12 +325,16 @@
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
         age = max(0.0, 1 - (engine.cold_until - self.now) / max(1, s.cold_us))  # 0 at its start, 1 when warm
-        able = (
-            s.start_capacity + (1 - s.start_capacity) * age**2
-        )  # how it warms is not told: stay below a line
-        budget = SAFE_PART * s.tip_multiple * able * engine.cores * s.tip_after_us / self.fleet
-        work = query.cls.work_us() or budget
-        return sum(w for _, w in engine.cold_sent) + work <= budget
+        able = s.start_capacity + (1 - s.start_capacity) * age**2  # how it warms is not told: below a line
+        full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / self.fleet
+        work = work_us(query.cls) or full * able
+        if work <= full * able:
+            return sum(w for _, w in engine.cold_sent) + work <= full * able
+        # Our part is less than one query: it would be shut out until warm, or all would come at once.
+        # They take turns by phase, one short query in a slot, as many windows apart as its work asks for.
+        period = s.tip_after_us * work / (full * s.start_capacity)
+        turn = (self.now / period + self.phase) % 1.0 * period < SLOT * s.tip_after_us
+        return turn and not engine.cold_sent and work <= 2 * min(work_us(c) for c in self.classes.values())
 
     def _line(self, query: Query) -> Line | None:
         return self.lines.get(query.key) if query.cls.settings.in_order and query.key is not None else None
@@ -338,50 +342,42 @@
     def _turn(self, query: Query) -> bool:
         """Rule 5: the query heads its key's line, and the key has rested."""
         line = self._line(query)
-        rested = line is None or bool(query.attempts) or self.now >= line.rest_until
-        return rested and (not line or line[0] is query)
+        return not line or (line[0] is query and bool(query.attempts or self.now >= line.rest_until))
 
     def _send(self, query: Query, engine: Engine) -> None:
         """The only place that sends; it asks the gate again, whoever calls."""
         if not (self._query_may(query) and self._engine_may(query, engine) and self._turn(query)):
             return
-        terms = self._terms(query, engine)
-        if terms != query.terms:
-            query.terms = terms
-            self.actions.append(api.SetTerms(query.id, *terms))
+        if self.settings.priorities_heeded and (priority := self._priority(query)) != query.priority:
+            query.priority = priority  # memory is left to the engine: learned grants brought nothing
+            self.actions.append(api.SetTerms(query.id, 0, priority))
         self.actions.append(api.Send(query.id, engine.address, 0))
-        usual = max(query.span_us, query.cls.work_us() / query.threads) * query.cls.recent
+        usual = max(query.span_us, work_us(query.cls) / query.threads) * query.cls.recent
         attempt = Attempt(len(query.attempts), engine, self.now, usual, query.heavy)
         if query.attempts:
             self.further.append(self.now)
         query.attempts.append(attempt)
         query.out += 1
         engine.running[query.id, attempt.number] = attempt
-        engine.threads += query.threads
-        engine.heavy_threads += query.threads if query.heavy else 0
-        engine.since = engine.sent_since(self.now) + query.threads / engine.cores
+        for sent in (engine, self.whole):
+            sent.threads += query.threads
+            sent.heavy_threads += query.threads if query.heavy else 0
+        engine.since = sent_since(engine, self.now) + query.threads / engine.cores
+        self.whole.since = sent_since(self.whole, self.now) + query.threads
+        self._weigh(engine)
         if self.now < engine.cold_until:
-            engine.cold_sent.append((self.now, query.cls.work_us()))
-
-    def _terms(self, query: Query, engine: Engine) -> tuple[float, int]:
-        s, grant = self.settings, 0.0
-        if s.grants_heeded and s.tells_cost and query.memory_mb is not None:
-            most = s.kind_memory_mb.get(engine.kind, math.inf) * s.max_grant_share
-            grant = round(min(most, query.memory_mb * query.cls.grant), 1)
-        return grant, self._priority(query) if s.priorities_heeded else query.terms[1]
+            engine.cold_sent.append((self.now, work_us(query.cls)))
 
     def _priority(self, query: Query) -> int:
         """Short classes first, heavy and late queries last: little waits, and what is late earns little."""
-        if self.now > query.aim_at:
-            return 0
-        short = query.cls.work_us() / query.threads < self._mean_span_us() / 2
-        return (3 if short else 2) - (1 if query.heavy else 0)
+        short = work_us(query.cls) / query.threads < self.mean_span_us / 2
+        return 0 if self.now > query.aim_at else (3 if short else 2) - query.heavy
 
     # --- Ends.
 
     def _end(self, query: Query) -> None:
         """Our final answer: a refusal where a retry does no harm for certain, else a failure."""
-        cls, exposed = query.cls.settings, query.exposed()
+        cls, exposed = query.cls.settings, first_exposed(query)
         harmless = exposed is None or cls.effect is api.Effect.REPEATABLE
         if exposed and cls.effect is api.Effect.BY_KEY and cls.group is api.DedupGroup.ALL:
             harmless = self.now < exposed.sent_at + cls.window_us
@@ -394,15 +390,7 @@
         query.done = True
         for attempt in query.attempts:
             self._cancel(query, attempt)
-        self._forget(query)
-
-    def _cancel(self, query: Query, attempt: Attempt) -> None:
-        if self.settings.cancel_allowed and attempt.outcome is None and not attempt.cancelled:
-            attempt.cancelled = True
-            self.actions.append(api.CancelAttempt(query.id, attempt.number))
-
-    def _forget(self, query: Query) -> None:
-        if not query.done or query.out:
+        if query.out:
             return
         self.queries.pop(query.id, None)
         line = self._line(query)
@@ -411,6 +399,11 @@
             heappush(self.resting, (line.rest_until, query.key))
             self._next_in_line(line)
 
+    def _cancel(self, query: Query, attempt: Attempt) -> None:
+        if self.settings.cancel_allowed and attempt.outcome is None and not attempt.cancelled:
+            attempt.cancelled = True
+            self.actions.append(api.CancelAttempt(query.id, attempt.number))
+
     def _next_in_line(self, line: Line) -> None:
         while line and line[0].done and not line[0].out:
             line.popleft()
@@ -424,32 +417,35 @@
 
     # --- Outcomes, notes and probes.
 
-    def _find(self, query_id: int, number: int) -> tuple[Query | None, Attempt | None]:
+    def _find(self, query_id: int, number: int) -> tuple[Query, Attempt] | None:
         """The query and its attempt while that is out; words on others come late, twice or unasked."""
         query = self.queries.get(query_id)
-        attempt = next((a for a in query.attempts if a.number == number), None) if query else None
-        return query, attempt if attempt and attempt.outcome is None else None
+        if query is None or number >= len(query.attempts) or query.attempts[number].outcome:
+            return None
+        return query, query.attempts[number]
 
     @_on.register
     def _ended(self, event: api.AttemptEnded) -> None:
-        query, attempt = self._find(event.query, event.attempt)
-        if query is None or attempt is None:
+        if (found := self._find(event.query, event.attempt)) is None:
             return
+        query, attempt = found
         engine, attempt.outcome = attempt.engine, event.outcome
         query.out -= 1
         self.moving -= attempt.moving
         engine.running.pop((query.id, attempt.number), None)
-        engine.threads -= query.threads
-        engine.heavy_threads -= query.threads if attempt.heavy else 0
-        engine.heard(self.now, event.report)
+        for sent in (engine, self.whole):
+            sent.threads -= query.threads
+            sent.heavy_threads -= query.threads if attempt.heavy else 0
+        heard(engine, self.now, event.report)
         self._judge(query, attempt, event)
+        self._weigh(engine)
         if event.outcome in MAY_STILL_RUN and (line := self._line(query)) is not None:
             line.rest_until = self.now + self.settings.order_settle_us
         if event.final or query.done:
             self._close(query)
         elif not query.out:
             self._place(query)
-        self._release()
+        self._release(engine)
 
     def _judge(self, query: Query, attempt: Attempt, event: api.AttemptEnded) -> None:
         """What an outcome tells of the engine and of the class."""
@@ -460,7 +456,7 @@
             engine.full_at = engine.alive_at = self.now
         elif outcome in (api.Outcome.OK, api.Outcome.ERROR):
             engine.alive_at = self.now
-            rate, error = engine.error_rate(self.now), float(outcome is api.Outcome.ERROR)
+            rate, error = error_rate(engine, self.now), float(outcome is api.Outcome.ERROR)
             engine.errors, engine.errors_at = rate + ERROR_GAIN * (error - rate), self.now
         if outcome is not api.Outcome.OK:
             return
@@ -469,11 +465,6 @@
         if event.work_ms and query.cost_us:
             told = event.work_ms * 1000 / query.cost_us
             cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
-        if event.memory_mb and query.memory_mb:
-            cls.grants += 1
-            over = event.memory_mb > query.memory_mb * cls.grant
-            step = max(GRANT_STEP, 1 / (1 + cls.grants / 4))
-            cls.grant *= 1 + step * (GRANT_QUANTILE if over else GRANT_QUANTILE - 1)
 
     def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> None:
         """An elapsed time against the estimate; runaways count too, else a jam looks quick, but not
@@ -484,8 +475,11 @@
         cls.recent += (ratio - cls.recent) / min(cls.answered, BEST_OVER)
         cls.best = min(cls.best * BEST_RISE, cls.recent) if cls.answered > BEST_OVER else cls.recent
         engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
-        step = WIDTH_STEP if engine.stretch < PRESSED_STRETCH else -WIDTH_STEP
-        engine.width = min(WIDTH_MOST, max(WIDTH_LEAST, engine.width + step))
+        whole = self.whole
+        whole.stretch += WHOLE_GAIN * (min(ratio / cls.best, 2 * whole.stretch) - whole.stretch)
+        for sent in (engine, whole):
+            step = WIDTH_STEP if sent.stretch < PRESSED_STRETCH else -WIDTH_STEP
+            sent.width = min(WIDTH_MOST, max(WIDTH_LEAST, sent.width + step))
 
     def _down(self, engine: Engine) -> None:
         """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
@@ -508,10 +502,11 @@
 
     @_on.register
     def _noted(self, event: api.AttemptNote) -> None:
-        query, attempt = self._find(event.query, event.attempt)
-        if query is None or attempt is None or query.done or attempt.cancelled:
+        found = self._find(event.query, event.attempt)
+        if found is None or event.topic is not api.Topic.PROGRESS or event.value <= found[1].share:
             return
-        if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
+        query, attempt = found
+        if query.done or attempt.cancelled:
             return
         attempt.share, attempt.engine.alive_at = event.value, self.now
         total = (self.now - attempt.sent_at) / max(event.value, 0.02)
@@ -527,10 +522,11 @@
         if (engine := self.engines.get(event.engine)) is None:
             return
         engine.probing = False
-        engine.heard(self.now, event.report)
+        heard(engine, self.now, event.report)
         if event.outcome is api.Outcome.CONNECT_FAILED and not engine.fails:
             self._down(engine)
-        self._release()
+        self._weigh(engine)
+        self._release(engine)
 
     # --- The engine list.
 
@@ -546,10 +542,15 @@
             self._entry(entry)
         gone = api.EngineState.GONE
         self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.running}
+        self.ready = [e for e in self.engines.values() if e.state is api.EngineState.READY]
+        self.whole.cores = sum(e.cores for e in self.ready) or 1.0
+        self.refreshed_at, self.sums = 0, None
         self._release()
 
     def _entry(self, entry: api.EngineEntry) -> None:
-        engine = self.engines.setdefault(entry.engine, Engine(entry.engine))
+        if (engine := self.engines.get(entry.engine)) is None:
+            engine = self.engines[entry.engine] = Engine(address=entry.engine, busy_at=BUSY_HELD)
+            engine.probe_at = self.now - int(self.random.random() * PROBE_WANTED_US)
         engine.kind, engine.zone, engine.cell = entry.kind, entry.zone, entry.cell
         engine.state = entry.state
         engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
@@ -577,54 +578,47 @@
                 self._next_in_line(line)
                 if not line and self.now >= line.rest_until:
                     del self.lines[key]
-        listed = [e for e in self.engines.values() if e.state is api.EngineState.READY]
-        for engine in self.engines.values():
-            engine.stretch += (1.0 - engine.stretch) * SWEEP_US / STRETCH_FADE_US
-            if sum(e.fails > 0 for e in listed) * 2 <= len(listed) and self._silent(engine):
-                self._down(
-                    engine
-                )  # half of the fleet silent: then it is no engine's fault, and none is shut out
-        if listed:
-            self.stretch = sorted(e.stretch for e in listed)[len(listed) // 2]
-            fresh = [e for e in listed if self.now - e.report_at <= REPORT_AGE_US]
-            loads = [e.load for e in fresh if e.load is not None]
-            self.mean_load = sum(loads) / len(loads) if loads else 0.0
-            held = sum(e.report.held or 0 for e in fresh if e.report)
-            if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
-                share = min(1.0, sum(len(e.running) for e in fresh) / held)
-                self.share += SHARE_GAIN * (max(share, 0.5 / self.fleet) - self.share)
-            self._probe(listed)
+        well = sum(e.fails > 0 for e in self.ready) * 2 <= len(self.ready)
+        for engine in self.engines.values():  # half of the fleet silent: then it is no engine's fault
+            if engine.running and well and self._silent(engine):
+                self._down(engine)
+        if self.whole.threads:
+            self._refresh()
+        self._probe()
         self._release()
 
     def _silent(self, engine: Engine) -> bool:
         """No sign of life for much longer than what runs there should need, or than its notes are apart."""
         pace = self.settings.progress_us * NOTES_MISSED if self.settings.progress_us else math.inf
-        for attempt in engine.running.values():
-            waited = self.now - max(attempt.sent_at, engine.alive_at)
-            if waited > max(SILENT_US, min(pace, PATIENCE * attempt.expected_us)):
-                return True
-        return False
-
-    def _probe(self, listed: list[Engine]) -> None:
-        """Where only probes bring reports, all engines in turn; elsewhere just those under suspicion."""
-        s = self.settings
-        if not s.probes_allowed:
+        return any(
+            self.now - max(a.sent_at, engine.alive_at) > max(SILENT_US, min(pace, PATIENCE * a.expected_us))
+            for a in engine.running.values()
+        )
+
+    def _probe(self) -> None:
+        """The engines longest unheard, at a rate that our queries pay for; more often where a small gateway
+        would else know little of a large fleet."""
+        s, passed = self.settings, self.now - self.probed_at
+        self.probed_at = self.now
+        if not s.probes_allowed or s.reports_by is api.ReportsBy.NONE:
             return
         self._budget_left()  # forgets what was taken too long ago to count
-        rate = len(self.taken) * PROBES_PER_QUERY / self.window
-        pause = min(PROBE_MOST_US, max(PROBE_US, len(listed) / rate if rate else PROBE_MOST_US))
-        for engine in listed:
-            wanted = s.reports_by is api.ReportsBy.PROBES or engine.fails
-            if wanted and not engine.probing and self.now - engine.probe_at >= pause:
+        rate = len(self.taken) / min(self.window, max(SWEEP_US, self.now - self.started))
+        rate = min(PROBES_MOST * rate, max(PROBES_PER_QUERY * rate, len(self.ready) / PROBE_WANTED_US))
+        self.probes = min(self.probes + rate * passed, 3.0 + len(self.ready))
+        heard = [(max(e.probe_at, e.report_at), e.address, e) for e in self.ready if not e.probing]
+        for at, _, engine in sorted(heard)[: int(self.probes)]:
+            if self.now - at >= PROBE_US:
+                self.probes -= 1
                 engine.probe_at, engine.probing = self.now, True
                 self.actions.append(api.SendProbe(engine.address))
 
-    def _release(self) -> None:
+    def _release(self, only: Engine | None = None) -> None:
         """Held queries leave by deadline, and are refused once they cannot finish in time."""
         for lane in sorted((lane for lane in self.lanes.values() if lane), key=lambda held: held[0][0]):
             while lane:
                 query = heappop(lane)[2]
                 if not query.done and self.now + self._expected_us(query) > query.due:
                     self._end(query)
-                elif not query.done and not self._place(query):  # held again
+                elif not query.done and not self._place(query, only):  # held again
                     break
