Judge runaways by how the class scatters; bound the fleet by what is fit to use

Spills: the engine's own grant was half of what reports needed. Now: a runaway is on course for twice the class's 80th percentile; early calls-off do not count as answers; memory follows what answers told; short light queries are bound by themselves; the fleet's cores count fit engines, less where reports say over-full; the share counts what we hold; full engines rest longer each time; the fleet's width follows long queries. Also covers jams after bursts and restarts; may hurt where half of the reports freeze at a high load.

--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -35,13 +35,13 @@
 def test_a_missing_estimate_counts_as_the_mean_and_goes_light_but_zero_is_zero() -> None:
     driver = Driver(settings(), engine("a"))
     driver.learn()
-    mean = driver.gateway.classes["short"].cost_us
+    mean = driver.gateway.classes["short"].cost.value
     driver.ask(1, cost_us=None, memory_mb=None)
     assert not heavy(driver, 1) and driver.gateway.queries[1].span_us == mean
-    assert driver.gateway.classes["short"].cost_us == mean
+    assert driver.gateway.classes["short"].cost.value == mean
     driver.ask(2, cost_us=0.0)
     assert not heavy(driver, 2) and driver.gateway.queries[2].span_us == 0
-    assert driver.gateway.classes["short"].cost_us < mean
+    assert driver.gateway.classes["short"].cost.value < mean
 
 
 def loaded(*entries: api.EngineEntry) -> Driver:
@@ -85,7 +85,7 @@
     assert driver.gateway._pressed(item)
     driver.report("a", utilisation=0.2, memory_queue=0)
     assert not driver.gateway._pressed(item)
-    item.full_at = driver.now
+    item.full_until = driver.now + 1
     assert driver.gateway._pressed(item)
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,12 +1,13 @@
 """One test for each failure found, and for the families of trouble that the defences are meant for."""
 
 from collections import Counter
+from typing import Any
 
 import pytest
 
 from tests.helpers import SECOND, Driver, answers, engine, query_class, sends, settings
 from whintrail import interface as api
-from whintrail.brain import ERRORS_MOST, MOST_SENDS, OWN_FREE, OWN_SHARE, error_rate
+from whintrail.brain import ERROR_FADE_US, ERRORS_MOST, MOST_SENDS, OWN_FREE, OWN_SHARE
 
 Out = api.Outcome
 
@@ -103,7 +104,7 @@
         driver.end(number, Out.ERROR if bad else Out.OK)
         driver.now += 10_000
     tried = [s for s in sends(driver.actions) if s.engine == "e0"]
-    assert error_rate(driver.gateway.engines["e0"], driver.now) >= ERRORS_MOST * 0.5
+    assert driver.gateway.engines["e0"].errors.now(driver.now, ERROR_FADE_US) >= ERRORS_MOST * 0.5
     assert len(tried) < 60
 
 
@@ -266,10 +267,117 @@
 
 def test_what_a_dead_engine_held_does_not_make_all_else_look_too_late() -> None:
     driver = fleet()
-    recent = driver.gateway.classes["short"].recent
+    recent = driver.gateway.classes["short"].recent.value
     for number in range(40):
         driver.ask(number)
         driver.now += 30_000
     driver.wait(3 * SECOND)  # nothing answers: all is called off
     assert [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
-    assert driver.gateway.classes["short"].recent == recent
+    assert driver.gateway.classes["short"].recent.value == recent
+
+
+def many_gateways(count: int = 200, engines: int = 40, **changes: Any) -> Driver:
+    """A small gateway of many: its part of one engine is far less than a query."""
+    long = query_class("long", threads=2, aim_us=20 * SECOND, deadline_us=60 * SECOND)
+    given = settings(query_class(), long, fleet_size=count, **changes)
+    driver = Driver(given, *(engine(f"e{n}") for n in range(engines)))
+    driver.learn(count=60)
+    driver.learn("long", count=25, first=20_000, cost_us=2.0 * SECOND)
+    return driver
+
+
+def test_lone_long_queries_of_many_gateways_do_not_jam_a_busy_fleet_and_short_ones_pass() -> None:
+    driver = many_gateways()
+    for number in range(40):
+        driver.report(f"e{number}", held=13)
+    long = range(100, 120)
+    for number in long:
+        driver.ask(number, "long", cost_us=2.0 * SECOND, give_up_us=driver.now + 60 * SECOND)
+    part = 40 * 8 / 200 * driver.gateway.whole.width
+    assert 2 <= 2 * sum(bool(sends(driver.actions, n)) for n in long) <= max(2, part)
+    assert sends(driver.ask(1))
+
+
+def test_what_rests_or_is_over_full_is_no_part_of_the_fleet_that_bounds_us() -> None:
+    driver = many_gateways()
+    driver.ask(1)
+    for number in range(40):
+        driver.report(f"e{number}", held=120 if number < 20 else 4)
+    driver.wait(SECOND)
+    assert driver.gateway.whole.cores < 20 * 8 + 20 * 8 * 0.15
+
+
+def test_gateways_take_turns_at_a_cold_engine_of_which_their_part_is_under_one_query() -> None:
+    """It is neither shut out nor rushed: over its first seconds the sends of all stay in the budget."""
+    taken = []
+    for seed in range(100):
+        driver = Driver(settings(fleet_size=100, tip_after_us=SECOND), seed=seed)
+        driver.learn()
+        driver.name_engines(engine("cold", started_us=driver.now))
+        begin = driver.now
+        for number in range(40):
+            if sends(driver.ask(number)):
+                taken.append(driver.now - begin)
+                driver.end(number, Out.OK)
+            driver.now += 100_000
+    busiest = max(sum(t <= at < t + SECOND for at in taken) for t in range(0, 3 * SECOND, 100_000))
+    work, able = 100_000, 8 * 2.0 * 0.4 * SECOND
+    assert 0 < busiest * work <= able
+
+
+def test_rough_estimates_do_not_pass_for_runaway_plans() -> None:
+    """Queries that take one to six times their estimate are usual here, and none is moved for it."""
+    driver = Driver(settings(query_class(aim_us=20 * SECOND)), *(engine(f"e{n}") for n in range(4)))
+    for number in range(100):
+        driver.ask(number, cost_us=1.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+        driver.now += 100_000
+        driver.end(number, Out.OK, elapsed_us=(1 + number % 6) * SECOND)
+    driver.ask(200, cost_us=1.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+    driver.now += 600_000
+    note = api.AttemptNote(200, 0, where(driver, 200), api.Topic.PROGRESS, 0.1)
+    assert not [a for a in driver.tell(note) if isinstance(a, api.CancelAttempt)]
+
+
+def test_a_query_called_off_early_does_not_make_its_class_look_quick() -> None:
+    driver = fleet()
+    recent = driver.gateway.classes["short"].recent.value
+    driver.ask(1, cost_us=1.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+    driver.now += 400_000
+    note = api.AttemptNote(1, 0, where(driver, 1), api.Topic.PROGRESS, 0.001)
+    assert [a for a in driver.tell(note) if isinstance(a, api.CancelAttempt)]
+    assert driver.gateway.classes["short"].recent.value == recent
+
+
+def test_an_engine_that_is_full_again_and_again_rests_longer() -> None:
+    driver = Driver(settings(max_attempts=None), engine("a"))
+    times = []
+    for number in range(100):
+        if sends(driver.ask(number)):
+            times.append(driver.now)
+            driver.end(number, Out.FULL)
+        driver.now += 100_000
+    assert len(times) <= 5 and times[-1] - times[-2] > 3 * (times[1] - times[0])
+
+
+def test_grants_follow_what_answers_tell() -> None:
+    driver = Driver(settings(grants_heeded=True, tells_cost=True), engine("a"))
+    for number in range(60):
+        driver.ask(number, memory_mb=100.0)
+        driver.end(number, Out.OK, memory_mb=300.0, work_ms=100.0)
+    terms = [a for a in driver.actions if isinstance(a, api.SetTerms)]
+    assert 300 <= terms[-1].grant_mb <= 420
+
+
+def test_probes_are_paid_for_by_queries_and_go_to_the_engine_longest_unheard() -> None:
+    driver = many_gateways(engines=40)
+    for number in range(40):
+        driver.report(f"e{number}", held=3)  # what learning had asked for
+    first = len(driver.actions)
+    for number in range(50):
+        driver.ask(number)
+        driver.end(number, Out.OK)
+        for action in driver.wait(200_000):
+            if isinstance(action, api.SendProbe):
+                driver.report(action.engine, held=3)
+    probed = Counter(a.engine for a in driver.actions[first:] if isinstance(a, api.SendProbe))
+    assert 30 <= sum(probed.values()) <= 85 + 50 and max(probed.values()) - min(probed.values()) <= 1
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -20,13 +20,13 @@
 # --- Pressure: what makes the heavy bound bind.
 PRESSED_STRETCH = 1.7  # latency this many times the class's best: threads clearly share cores
 BEST_OVER, BEST_RISE = 20, 1.0005  # answers that "best" is smoothed over; it rises slowly, lest it grow stale
-BUSY_UTILISATION = 0.95  # cores all but full
-BUSY_HELD = 1.5  # queries held per core: more run than there are cores
+BUSY_UTILISATION, BUSY_HELD = 0.95, 1.5  # cores all but full; more queries held than there are cores
 BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
-FULL_REST_US = 500_000  # an engine that refused for want of room is pressed, and passed over, so long
+FULL_REST_US = 500_000  # an engine that refused for want of room is pressed and rests, longer each time
 BRIM = 1.4  # all our threads per core of our share; threads that read leave room, more feed a jam
 SHARE_GAIN = 0.08  # how fast this gateway's share of the work follows the reports
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
+WHOLE_STEP = 0.05  # the same for the fleet's, which few answers of a small gateway move
 # --- The draw.
 LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
 DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
@@ -36,17 +36,16 @@
 HEARD_US, UNHEARD_WEIGHT = 1_000_000, 0.1  # where most of a large fleet is unheard, lean to what is heard
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
-SILENT_US = 1_000_000  # least time without any sign of life before an engine is called silent
-PATIENCE = 6.0  # times the expected time of an attempt before its silence tells against the engine
+SILENT_US, PATIENCE = 1_000_000, 6.0  # no sign of life so long, and for so many times the expected time
 NOTES_MISSED = 3.2  # or so many progress notes that did not come
 ERRORS_MOST = 0.3  # an engine that fails more of its queries is left alone while others do not
 ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one error, and how fast its memory fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
-WHOLE_GAIN = 0.05  # and for the fleet's as a whole, where an answer counts for at most twice the usual
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
 PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
 # --- Further attempts.
-RUNAWAY = 3.0  # an attempt on course for this many times the usual has a bad plan or a sick engine
+RUNAWAY = 2.0  # on course for so many times what is high for its class: a bad plan, no rough estimate
+HIGH_PART, HIGH_STEP, HIGH_FIRST = 0.8, 0.1, 5.0  # high: so many take less; how fast it follows; at first
 MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 # --- Cold engines and time.
@@ -54,6 +53,7 @@
 SLOT = 0.33  # of a window: when one query is more than our part, gateways take turns by slots so long
 SWEEP_US, WATCH_US = 100_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
 REFRESH_US, DRAWS = 200_000, 3  # weights are at most so old; draws before all engines are looked through
+TOLD_MOST, TOLD_MEMORY, GRANT = 10.0, 20, 1.25  # what answers tell: at most, over so many; memory over that
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
@@ -61,31 +61,15 @@
 SWEEP, WATCH = "sweep", "watch"
 
 
-def sent_since(sent: Sent, now: int) -> float:
-    """Our threads since reports had time to show them, a core of the engine or in all."""
-    sent.since *= math.exp((sent.since_at - now) / SINCE_US)
-    sent.since_at = now
-    return sent.since
-
-
-def error_rate(engine: Engine, now: int) -> float:
-    return engine.errors * math.exp((engine.errors_at - now) / ERROR_FADE_US) if engine.errors else 0.0
-
-
 def heard(engine: Engine, now: int, report: api.LoadReport | None) -> None:
     if report is not None:
         engine.report, engine.report_at = report, now
-        if report.utilisation is not None:
-            engine.load, engine.busy_at = max(0.0, report.utilisation), BUSY_UTILISATION
+        if (load := report.utilisation) is not None:
+            engine.load, engine.busy_at = max(0.0, load), BUSY_UTILISATION
         elif report.held is not None:
             engine.load, engine.busy_at = max(0.0, report.held) / engine.cores, BUSY_HELD
 
 
-def work_us(cls: ClassState) -> float:
-    """The usual work of the class; 0 while nothing is known."""
-    return cls.cost_us * (cls.told_work or 1.0)
-
-
 def first_exposed(query: Query) -> Attempt | None:
     """The first attempt that may have run."""
     return next((a for a in query.attempts if a.outcome not in NEVER_RAN), None)
@@ -95,12 +79,11 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.settings, self.random, self.now = settings, Random(seed), now
         self.actions: list[api.Action] = []
-        self.classes = {c.name: ClassState(c) for c in settings.classes}
+        self.classes = {c.name: ClassState(c, high=HIGH_FIRST) for c in settings.classes}
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.lanes: dict[tuple[str, bool], list[tuple[float, int, Query]]] = {}
         self.lines: dict[str, Line] = {}
-        self.resting, self.last_calls = list[tuple[int, str]](), list[tuple[int, int]]()
         self.taken, self.further = deque[int](), deque[int]()
         self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
         self.moving = 0  # attempts cancelled so that others take their place
@@ -135,15 +118,14 @@
             self.actions.append(api.Fail(event.query))
             return
         threads, cost = max(1, cls.settings.threads), event.cost_us
-        cost = cost if cost is not None else cls.cost_us or cls.settings.aim_us / 4
-        span = cost * (cls.told_work or 1.0) / threads  # alone on its threads
+        cost = cost if cost is not None else cls.cost.value or cls.settings.aim_us / 4
+        span = cost * (cls.told_work.value or 1.0) / threads  # alone on its threads
         aim = self.now + cls.settings.aim_us + cls.settings.aim_stretch * span
         known = (event.key, event.cost_us, event.memory_mb, event.give_up_us)
         query = Query(event.query, cls, *known, threads, span, aim, min(aim, event.give_up_us))
         query.heavy = self._label(query)
         self.queries[query.id] = query
         self.taken.append(self.now)
-        heappush(self.last_calls, (query.give_up - LAST_CALL_US, query.id))
         if cls.settings.in_order and query.key is not None:
             self.lines.setdefault(query.key, Line()).append(query)
         self._place(query)
@@ -152,16 +134,13 @@
         """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES:
-            heavy = (query.cost_us or 0) > BAR * cls.cost_us or (query.memory_mb or 0) > BAR * cls.memory_mb
+            heavy = (query.cost_us or 0) > BAR * cls.cost.value
+            heavy = heavy or (query.memory_mb or 0) > BAR * cls.memory.value
             heavy = heavy and query.span_us > self.mean_span_us
         cls.seen += 1
-        if query.cost_us is not None:
-            cls.costs += 1
-            cls.cost_us += (query.cost_us - cls.cost_us) / min(cls.costs, MEAN_MEMORY)
-        if query.memory_mb is not None:
-            cls.memories += 1
-            cls.memory_mb += (query.memory_mb - cls.memory_mb) / min(cls.memories, MEAN_MEMORY)
-        spans = [(work_us(c) / max(1, c.settings.threads), c.seen) for c in self.classes.values()]
+        cls.cost.add(query.cost_us, MEAN_MEMORY)
+        cls.memory.add(query.memory_mb, MEAN_MEMORY)
+        spans = [(c.work_us / max(1, c.settings.threads), c.seen) for c in self.classes.values()]
         self.mean_span_us = sum(span * seen for span, seen in spans) / sum(seen for _, seen in spans)
         return heavy
 
@@ -201,11 +180,11 @@
     def _takes(self, query: Query, engine: Engine) -> bool:
         """Failed engines come back one query at a time; full ones and failing ones rest a while."""
         if engine.fails:
-            usable = self.now >= engine.down_until and not (self.healthy and engine.running)
+            rests = self.now < engine.down_until or (self.healthy and engine.running)
         else:
-            usable = not self.healthy or error_rate(engine, self.now) < ERRORS_MOST
-            usable = usable and self.now - engine.full_at >= FULL_REST_US
-        return usable and self._engine_may(query, engine) and self._has_room(query, engine)
+            failing = self.healthy and engine.errors.now(self.now, ERROR_FADE_US) >= ERRORS_MOST
+            rests = self.now < engine.full_until or failing
+        return not rests and self._engine_may(query, engine) and self._has_room(query, engine)
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
@@ -213,35 +192,39 @@
             return False  # it could not finish in time there
         if not self._pressed(engine):
             return True
-        scale, threads = (1.0 if query.heavy else BRIM) * self.share, query.threads
-        used, ours = (s.heavy_threads if query.heavy else s.threads for s in (engine, self.whole))
+        threads, long = query.threads, query.span_us > self.mean_span_us
+        scale = (1.0 if query.heavy else BRIM) * self.share
+        used = engine.heavy_threads if query.heavy else engine.threads
         if used + threads <= scale * engine.width * engine.cores:
             return True
         if used and (query.heavy or used - engine.heavy_threads + threads > 1):
             return False
-        # The lone query that is let in. Where our part of an engine is less than one query, the lone ones of
-        # many gateways would make a jam by themselves: then our part of the whole fleet bounds them.
+        # A lone query is let in. Where our part of an engine is less than one query, the lone ones of many
+        # gateways would make a jam by themselves: then our part of the whole fleet bounds them, the long ones
+        # that pass as light together with the heavy ones, which keep no short one out.
+        whole = self.whole
+        ours = whole.heavy_threads if query.heavy else whole.threads - (0 if long else whole.heavy_threads)
         small = engine.cores * self.share < threads
-        return not small or ours + threads <= max(threads, scale * self.whole.width * self.whole.cores)
+        return not small or ours + threads <= max(threads, scale * whole.width * whole.cores)
 
     def _pressed(self, engine: Engine) -> bool:
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
-        if engine.stretch > PRESSED_STRETCH or self.now - engine.full_at < FULL_REST_US:
+        if engine.stretch > PRESSED_STRETCH or self.now < engine.full_until:
             return True
         report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
         memory = report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY)
-        most = STAMPEDE * sent_since(self.whole, self.now) / self.whole.cores
-        others = min(most, sent_since(engine, self.now)) * (1 / self.share - 1)  # they send alike
+        most = STAMPEDE * self.whole.since.now(self.now, SINCE_US) / self.whole.cores
+        others = min(most, engine.since.now(self.now, SINCE_US)) * (1 / self.share - 1)  # they send alike
         return bool(memory) or self._load(engine) + others > engine.busy_at
 
     def _load(self, engine: Engine) -> float:
         load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
-        return (self.mean_load if load is None else load) + sent_since(engine, self.now)
+        return (self.mean_load if load is None else load) + engine.since.now(self.now, SINCE_US)
 
     def _weigh(self, engine: Engine) -> None:
         """Its part in the draw: against reported load and our sends since, then what tells of its health."""
         weight = engine.cores * (LOAD_FLOOR + self._load(engine)) ** -DRAW_POWER
-        weight *= max(0.02, 1 - error_rate(engine, self.now)) ** 4
+        weight *= max(0.02, 1 - engine.errors.now(self.now, ERROR_FADE_US)) ** 4
         weight *= min(1.0, self.stretch / engine.stretch) ** 2
         if self.sparse and self.now - engine.report_at > HEARD_US:
             weight *= UNHEARD_WEIGHT
@@ -257,14 +240,18 @@
         for e in ready:  # one that we seldom hear of fares as the others do
             e.stretch += (self.whole.stretch - e.stretch) * min(1.0, passed / STRETCH_FADE_US)
         self.stretch = sorted(e.stretch for e in ready)[len(ready) // 2]
-        self.healthy = any(e.fails == 0 and error_rate(e, now) < ERRORS_MOST for e in ready)
+        self.healthy = any(e.fails == 0 and e.errors.now(now, ERROR_FADE_US) < ERRORS_MOST for e in ready)
         self.sparse = sum(now - e.report_at <= HEARD_US for e in ready) * 2 < len(ready)
         fresh = [e for e in ready if now - e.report_at <= REPORT_AGE_US]
         loads = [e.load for e in fresh if e.load is not None] or [0.0]
         self.mean_load = sum(loads) / len(loads)
+        # Our part of the fleet is one of what is fit to use: not of what rests, is cold or is over-full.
+        fit = [e for e in ready if e.fails == 0 and now >= max(e.full_until, e.cold_until)] or ready
+        self.whole.cores = sum(e.cores * e.busy_at / max(e.busy_at, self._load(e)) for e in fit)
         held = sum(e.report.held or 0 for e in fresh if e.report) * len(ready) / max(1, len(fresh))
         if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
-            share = min(1.0, sum(len(e.running) for e in ready) / held)
+            wanted = sum(map(len, self.lanes.values()))  # what we hold back is our share as well
+            share = min(1.0, (sum(len(e.running) for e in ready) + wanted) / (held + wanted))
             self.share += min(1.0, SHARE_GAIN * passed / REFRESH_US) * (
                 max(share, 0.5 / self.fleet) - self.share
             )
@@ -273,7 +260,11 @@
 
     def _expected_us(self, query: Query, engine: Engine | None = None) -> float:
         """As its class fares of late; on a given engine, as that stands against the others."""
-        return query.span_us * query.cls.recent * (engine.stretch / self.stretch if engine else 1.0)
+        return (
+            query.span_us
+            * (query.cls.recent.value or 1.0)
+            * (engine.stretch / self.stretch if engine else 1.0)
+        )
 
     # --- The gate that every send passes: the rules.
 
@@ -327,14 +318,14 @@
         age = max(0.0, 1 - (engine.cold_until - self.now) / max(1, s.cold_us))  # 0 at its start, 1 when warm
         able = s.start_capacity + (1 - s.start_capacity) * age**2  # how it warms is not told: below a line
         full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / self.fleet
-        work = work_us(query.cls) or full * able
+        work = query.cls.work_us or full * able
         if work <= full * able:
             return sum(w for _, w in engine.cold_sent) + work <= full * able
         # Our part is less than one query: it would be shut out until warm, or all would come at once.
         # They take turns by phase, one short query in a slot, as many windows apart as its work asks for.
         period = s.tip_after_us * work / (full * s.start_capacity)
         turn = (self.now / period + self.phase) % 1.0 * period < SLOT * s.tip_after_us
-        return turn and not engine.cold_sent and work <= 2 * min(work_us(c) for c in self.classes.values())
+        return turn and not engine.cold_sent and work <= 2 * min(c.work_us for c in self.classes.values())
 
     def _line(self, query: Query) -> Line | None:
         return self.lines.get(query.key) if query.cls.settings.in_order and query.key is not None else None
@@ -348,11 +339,11 @@
         """The only place that sends; it asks the gate again, whoever calls."""
         if not (self._query_may(query) and self._engine_may(query, engine) and self._turn(query)):
             return
-        if self.settings.priorities_heeded and (priority := self._priority(query)) != query.priority:
-            query.priority = priority  # memory is left to the engine: learned grants brought nothing
-            self.actions.append(api.SetTerms(query.id, 0, priority))
+        if (terms := self._terms(query, engine)) != query.terms:
+            query.terms = terms
+            self.actions.append(api.SetTerms(query.id, *terms))
         self.actions.append(api.Send(query.id, engine.address, 0))
-        usual = max(query.span_us, work_us(query.cls) / query.threads) * query.cls.recent
+        usual = max(query.span_us, query.cls.work_us / query.threads) * (query.cls.recent.value or 1.0)
         attempt = Attempt(len(query.attempts), engine, self.now, usual, query.heavy)
         if query.attempts:
             self.further.append(self.now)
@@ -362,16 +353,22 @@
         for sent in (engine, self.whole):
             sent.threads += query.threads
             sent.heavy_threads += query.threads if query.heavy else 0
-        engine.since = sent_since(engine, self.now) + query.threads / engine.cores
-        self.whole.since = sent_since(self.whole, self.now) + query.threads
+        for sent, threads in ((engine, query.threads / engine.cores), (self.whole, query.threads)):
+            sent.since.value = sent.since.now(self.now, SINCE_US) + threads
         self._weigh(engine)
         if self.now < engine.cold_until:
-            engine.cold_sent.append((self.now, work_us(query.cls)))
-
-    def _priority(self, query: Query) -> int:
-        """Short classes first, heavy and late queries last: little waits, and what is late earns little."""
-        short = work_us(query.cls) / query.threads < self.mean_span_us / 2
-        return 0 if self.now > query.aim_at else (3 if short else 2) - query.heavy
+            engine.cold_sent.append((self.now, query.cls.work_us))
+
+    def _terms(self, query: Query, engine: Engine) -> tuple[float, int]:
+        """Memory where answers tell the need; short classes first, heavy and late ones last."""
+        s, (grant, priority), told = self.settings, query.terms, query.cls.told_memory.value
+        if s.grants_heeded and told and query.memory_mb is not None:
+            most = s.kind_memory_mb.get(engine.kind, math.inf) * s.max_grant_share
+            grant = round(min(most, query.memory_mb * told * GRANT), 1)
+        if s.priorities_heeded:
+            short = query.cls.work_us / query.threads < self.mean_span_us / 2
+            priority = 0 if self.now > query.aim_at else (3 if short else 2) - query.heavy
+        return grant, priority
 
     # --- Ends.
 
@@ -396,7 +393,6 @@
         line = self._line(query)
         if line and query.key is not None and query in line:
             line.remove(query)
-            heappush(self.resting, (line.rest_until, query.key))
             self._next_in_line(line)
 
     def _cancel(self, query: Query, attempt: Attempt) -> None:
@@ -453,48 +449,52 @@
         if outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
             self._down(engine)
         elif outcome is api.Outcome.FULL:
-            engine.full_at = engine.alive_at = self.now
+            rest = min(DOWN_MOST_US, FULL_REST_US << min(engine.fulls, 4))  # it may hang, or all come at once
+            engine.full_until, engine.fulls, engine.alive_at = self.now + rest, engine.fulls + 1, self.now
         elif outcome in (api.Outcome.OK, api.Outcome.ERROR):
             engine.alive_at = self.now
-            rate, error = error_rate(engine, self.now), float(outcome is api.Outcome.ERROR)
-            engine.errors, engine.errors_at = rate + ERROR_GAIN * (error - rate), self.now
+            rate, error = engine.errors.now(self.now, ERROR_FADE_US), float(outcome is api.Outcome.ERROR)
+            engine.errors.value += ERROR_GAIN * (error - rate)
         if outcome is not api.Outcome.OK:
             return
-        engine.fails = 0
-        self._stretch(query, engine, event.elapsed_us)
+        engine.fails = engine.fulls = 0
+        self._stretch(query, engine, event.elapsed_us, event.elapsed_us)
         if event.work_ms and query.cost_us:
-            told = event.work_ms * 1000 / query.cost_us
-            cls.told_work += 0.05 * (min(told, 10.0) - cls.told_work) if cls.told_work else told
+            cls.told_work.add(min(event.work_ms * 1000 / query.cost_us, TOLD_MOST), TOLD_MEMORY)
+        if event.memory_mb and query.memory_mb:
+            cls.told_memory.add(min(event.memory_mb / query.memory_mb, TOLD_MOST), TOLD_MEMORY)
 
-    def _stretch(self, query: Query, engine: Engine, elapsed_us: int) -> None:
+    def _stretch(self, query: Query, engine: Engine, elapsed_us: float, total_us: float) -> None:
         """An elapsed time against the estimate; runaways count too, else a jam looks quick, but not
         what a dead engine held: that tells of no other engine, and had all else refused as late."""
-        ratio, cls = max(elapsed_us, 1) / max(query.span_us, 5_000.0), query.cls
-        cls.answered += 1  # the best of a smoothed latency: estimates scatter, single lucky ones say nothing
-        ratio = min(ratio, 5 * cls.recent) if cls.answered > 1 else ratio
-        cls.recent += (ratio - cls.recent) / min(cls.answered, BEST_OVER)
-        cls.best = min(cls.best * BEST_RISE, cls.recent) if cls.answered > BEST_OVER else cls.recent
+        span, cls, recent = max(query.span_us, 5_000.0), query.cls, query.cls.recent
+        ratio = min(max(elapsed_us, 1) / span, 5 * recent.value or math.inf)
+        if elapsed_us == total_us:  # what was called off early must not look quick
+            recent.add(ratio, BEST_OVER)  # single lucky ones say nothing: estimates scatter
+            cls.best = min(cls.best * BEST_RISE, recent.value) if recent.count > BEST_OVER else recent.value
+        cls.high *= 1 + HIGH_STEP * (HIGH_PART - (total_us / span < cls.high))
         engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
-        whole = self.whole
-        whole.stretch += WHOLE_GAIN * (min(ratio / cls.best, 2 * whole.stretch) - whole.stretch)
-        for sent in (engine, whole):
-            step = WIDTH_STEP if sent.stretch < PRESSED_STRETCH else -WIDTH_STEP
-            sent.width = min(WIDTH_MOST, max(WIDTH_LEAST, sent.width + step))
+        bounds: list[tuple[Sent, float]] = [(engine, WIDTH_STEP)]
+        if query.span_us > self.mean_span_us:  # where priorities are heeded, short ones look well in any jam
+            whole = self.whole
+            whole.stretch += STRETCH_GAIN * (min(ratio / cls.best, 2 * whole.stretch) - whole.stretch)
+            bounds.append((whole, WHOLE_STEP))
+        for sent, step in bounds:
+            sent.width += step if sent.stretch < PRESSED_STRETCH else -step
+            sent.width = min(WIDTH_MOST, max(WIDTH_LEAST, sent.width))
 
     def _down(self, engine: Engine) -> None:
         """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
         if self.now >= engine.down_until:
             engine.fails += 1
             engine.down_until = self.now + min(DOWN_MOST_US, DOWN_US << min(engine.fails - 1, 4))
-        for query_id, number in list(engine.running):
-            query = self.queries[query_id]
-            if query.cls.settings.effect is api.Effect.REPEATABLE and not query.done:
-                self._elsewhere(query, query.attempts[number])
+        for (query_id, _), attempt in list(engine.running.items()):
+            self._elsewhere(self.queries[query_id], attempt)
 
     def _elsewhere(self, query: Query, attempt: Attempt) -> None:
         """Give up one attempt for another; the result of the cancelled one brings the next."""
-        s = self.settings
-        room = len(query.attempts) < min(MOST_SENDS, s.max_attempts or MOST_SENDS)
+        s, safe = self.settings, query.cls.settings.effect is api.Effect.REPEATABLE and not query.done
+        room = safe and len(query.attempts) < min(MOST_SENDS, s.max_attempts or MOST_SENDS)
         if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
             attempt.moving = True
@@ -506,15 +506,12 @@
         if found is None or event.topic is not api.Topic.PROGRESS or event.value <= found[1].share:
             return
         query, attempt = found
-        if query.done or attempt.cancelled:
-            return
         attempt.share, attempt.engine.alive_at = event.value, self.now
         total = (self.now - attempt.sent_at) / max(event.value, 0.02)
         finish, fresh = attempt.sent_at + total, self._expected_us(query)
-        if query.cls.settings.effect is not api.Effect.REPEATABLE or finish <= query.aim_at:
-            return
-        if total > RUNAWAY * fresh and self.now + fresh < min(finish, query.give_up):
-            self._stretch(query, attempt.engine, self.now - attempt.sent_at)
+        bad = total > RUNAWAY * query.span_us * query.cls.high and finish > query.aim_at
+        if bad and self.now + fresh < min(finish, query.give_up):
+            self._stretch(query, attempt.engine, self.now - attempt.sent_at, total)
             self._elsewhere(query, attempt)
 
     @_on.register
@@ -540,10 +537,9 @@
                 engine.state = api.EngineState.GONE
         for entry in event.entries:
             self._entry(entry)
-        gone = api.EngineState.GONE
+        gone, ready = api.EngineState.GONE, api.EngineState.READY
         self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.running}
-        self.ready = [e for e in self.engines.values() if e.state is api.EngineState.READY]
-        self.whole.cores = sum(e.cores for e in self.ready) or 1.0
+        self.ready = [e for e in self.engines.values() if e.state is ready]
         self.refreshed_at, self.sums = 0, None
         self._release()
 
@@ -557,7 +553,7 @@
         if entry.started_us is not None:
             cold_until = entry.started_us + self.settings.cold_us
             if cold_until > max(engine.cold_until, self.now):  # a new start: old sins are forgotten
-                engine.fails, engine.stretch, engine.errors = 0, 1.0, 0.0
+                engine.fails, engine.stretch, engine.errors.value = 0, 1.0, 0.0
             engine.cold_until = max(engine.cold_until, cold_until)
 
     # --- Housekeeping.
@@ -569,15 +565,13 @@
         if event.token != SWEEP:
             return
         self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
-        while self.last_calls and self.last_calls[0][0] <= self.now:
-            query = self.queries.get(heappop(self.last_calls)[1])
-            if query is not None and not query.done and self.now >= query.give_up - LAST_CALL_US:
+        for query in list(self.queries.values()):
+            if not query.done and self.now >= query.give_up - LAST_CALL_US:
                 self._end(query)
-        while self.resting and self.resting[0][0] <= self.now:
-            if (line := self.lines.get(key := heappop(self.resting)[1])) is not None:
-                self._next_in_line(line)
-                if not line and self.now >= line.rest_until:
-                    del self.lines[key]
+        for key, line in list(self.lines.items()):
+            self._next_in_line(line)
+            if not line and self.now >= line.rest_until:
+                del self.lines[key]
         well = sum(e.fails > 0 for e in self.ready) * 2 <= len(self.ready)
         for engine in self.engines.values():  # half of the fleet silent: then it is no engine's fault
             if engine.running and well and self._silent(engine):
@@ -589,7 +583,7 @@
 
     def _silent(self, engine: Engine) -> bool:
         """No sign of life for much longer than what runs there should need, or than its notes are apart."""
-        pace = self.settings.progress_us * NOTES_MISSED if self.settings.progress_us else math.inf
+        pace = self.settings.progress_us * NOTES_MISSED or math.inf
         return any(
             self.now - max(a.sent_at, engine.alive_at) > max(SILENT_US, min(pace, PATIENCE * a.expected_us))
             for a in engine.running.values()
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -3,6 +3,7 @@
 Plain records: they start empty and decide nothing. Every figure, and every change of one, is brain.py's.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -11,6 +12,35 @@
 LONG_AGO = -(10**12)  # a time before any that the clock tells: it has not happened yet
 
 
+@dataclass(slots=True)
+class Mean:
+    """A running mean; 0 while nothing is known."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, value: float | None, memory: int) -> None:
+        """As if over the last so many values; one that is absent tells nothing."""
+        if value is None:
+            return
+        self.count += 1
+        self.value += (value - self.value) / min(self.count, memory)
+
+
+@dataclass(slots=True)
+class Fading:
+    """A value that fades with time."""
+
+    value: float = 0.0
+    at: int = LONG_AGO
+
+    def now(self, now: int, span_us: float) -> float:
+        if self.value and now != self.at:
+            self.value *= math.exp((self.at - now) / span_us)
+        self.at = now
+        return self.value
+
+
 @dataclass(slots=True)
 class Sent:
     """Threads that one engine holds of ours, or all engines together."""
@@ -18,8 +48,7 @@
     cores: float = 1.0
     threads: int = 0
     heavy_threads: int = 0
-    since: float = 0.0  # threads sent of late, fading
-    since_at: int = LONG_AGO
+    since: Fading = field(default_factory=Fading)  # threads sent of late
     width: float = 1.0  # the bounds against their first values
     stretch: float = 1.0  # latency against the best of the class
 
@@ -38,12 +67,12 @@
     report_at: int = LONG_AGO
     load: float | None = None  # as reported
     busy_at: float = 0.0  # the level of load that counts as busy
-    errors: float = 0.0  # share of attempts that fail, fading
-    errors_at: int = LONG_AGO
+    errors: Fading = field(default_factory=Fading)  # share of attempts that fail
     fails: int = 0  # rests since it last answered
     down_until: int = 0
     alive_at: int = 0
-    full_at: int = LONG_AGO
+    fulls: int = 0  # refusals for want of room since it last answered
+    full_until: int = LONG_AGO
     probe_at: int = LONG_AGO
     probing: bool = False
     weight: float = 1.0  # in the draw, kept until something changes it
@@ -53,14 +82,18 @@
 class ClassState:
     settings: api.QueryClass
     seen: int = 0
-    costs: int = 0
-    memories: int = 0
-    answered: int = 0
-    cost_us: float = 0.0  # running mean estimates
-    memory_mb: float = 0.0
-    recent: float = 1.0  # elapsed time against the estimate: of late, and at best
-    best: float = 1.0
-    told_work: float = 0.0  # work that answers told against the estimate; 0: never told
+    cost: Mean = field(default_factory=Mean)  # estimates, in us and in MB
+    memory: Mean = field(default_factory=Mean)
+    told_work: Mean = field(default_factory=Mean)  # what answers told, against the estimate
+    told_memory: Mean = field(default_factory=Mean)
+    recent: Mean = field(default_factory=Mean)  # elapsed time against the estimate, of late
+    best: float = 1.0  # and at best
+    high: float = 0.0  # a high quantile of it
+
+    @property
+    def work_us(self) -> float:
+        """The usual work of the class; 0 while nothing is known."""
+        return self.cost.value * (self.told_work.value or 1.0)
 
 
 @dataclass(slots=True, eq=False)
@@ -94,7 +127,7 @@
     done: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
-    priority: int = 1  # the usual one
+    terms: tuple[float, int] = (0, 1)  # the engine's choice of memory, the usual priority
 
 
 class Line(deque[Query]):
