--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -250,8 +250,7 @@
         self.whole.cores = sum(e.cores * e.busy_at / max(e.busy_at, self._load(e)) for e in fit)
         held = sum(e.report.held or 0 for e in fresh if e.report) * len(ready) / max(1, len(fresh))
         if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
-            wanted = sum(map(len, self.lanes.values()))  # what we hold back is our share as well
-            share = min(1.0, (sum(len(e.running) for e in ready) + wanted) / (held + wanted))
+            share = min(1.0, sum(len(e.running) for e in ready) / held)
             self.share += min(1.0, SHARE_GAIN * passed / REFRESH_US) * (
                 max(share, 0.5 / self.fleet) - self.share
             )
