Tell a lost answer from a dead engine; let probes, held queries and long quiet count

Read from the exchange: resets come when the work is done; where memory is waited for, utilisation stays at 0.85 while 32 queries are held on 8 cores; probes of failing, full or hanging engines bring errors, full or time-outs. Now: a lost answer counts against its engine's share of errors and is tried again, sooner where losses are usual and another try would be in time; an engine is down when nothing comes from it; one that gave no other sign rests half a second; probes count as evidence; an error weighs more where little is known; held queries per core are pressure beside utilisation. Taken out, as they moved nothing: the lean to heard engines and the limit on what others send. Also covers flapping links and gateways cut from some engines; may hurt where most answers are slow at once.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -11,46 +11,37 @@
 from random import Random
 
 from whintrail import interface as api
-from whintrail.state import Attempt, ClassState, Engine, Line, Query, Sent
+from whintrail.state import Attempt, ClassState, Engine, Line, Mean, Query, Sent
 
-# --- The design's own figures.
 BAR = 0.25  # heavy above so many times the class's mean; what is under the mean of all is too short to hold
-LEARN_QUERIES = 20  # until a class has seen so many, all of it counts as light
-MEAN_MEMORY = 500  # the running mean looks back over about so many queries
+LEARN_QUERIES, MEAN_MEMORY = 20, 500  # all of a class is light until then; the mean is over so many
 # --- Pressure: what makes the heavy bound bind.
 PRESSED_STRETCH = 1.7  # latency this many times the class's best: threads clearly share cores
 BEST_OVER, BEST_RISE = 20, 1.0005  # answers that "best" is smoothed over; it rises slowly, lest it grow stale
-BUSY_UTILISATION, BUSY_HELD = 0.95, 1.5  # cores all but full; more queries held than there are cores
-BUSY_MEMORY = 0.7  # share of memory granted: what is sent before the next report may take the rest
+BUSY_UTILISATION, BUSY_HELD, BUSY_MEMORY = 0.95, 1.5, 0.7  # of the cores; a core; share of memory granted
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed and rests, longer each time
 BRIM = 1.4  # all our threads per core of our share; threads that read leave room, more feed a jam
 SHARE_GAIN = 0.08  # how fast this gateway's share of the work follows the reports
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
 WHOLE_STEP = 0.05  # the same for the fleet's, which few answers of a small gateway move
-# --- The draw.
-LOAD_FLOOR = 0.2  # keeps an idle engine's weight finite, so that it does not draw everything
-DRAW_POWER = 3.0  # how steeply the weight falls with load; higher chases stale reports
+LOAD_FLOOR, DRAW_POWER = 0.2, 3.0  # what an idle engine counts; how steep: higher chases stale reports
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
-STAMPEDE = 4.0  # others send at most so many times the mean where we do; they may have heard of other engines
-HEARD_US, UNHEARD_WEIGHT = 1_000_000, 0.1  # where most of a large fleet is unheard, lean to what is heard
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
-SILENT_US, PATIENCE = 1_000_000, 6.0  # no sign of life so long, and for so many times the expected time
-NOTES_MISSED = 3.2  # or so many progress notes that did not come
-ERRORS_MOST = 0.3  # an engine that fails more of its queries is left alone while others do not
-ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one error, and how fast its memory fades
+SILENT_US, PATIENCE, NOTES_MISSED = 1_000_000, 6.0, 2.2  # silence: least; times the expected; notes apart
+LOSSY, LOSS_MEMORY = 0.02, 200  # where more than this share of answers, of so many, do not come: be hasty
+HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience then
+ERRORS_MOST = 0.5  # an engine that fails more of its queries is left alone while others do not
+ERROR_GAIN, ERROR_FADE_US = 0.2, 20_000_000  # least weight of one answer, and how fast what is known fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
 PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
-# --- Further attempts.
 RUNAWAY = 2.0  # on course for so many times what is high for its class: a bad plan, no rough estimate
 HIGH_PART, HIGH_STEP, HIGH_FIRST = 0.8, 0.1, 5.0  # high: so many take less; how fast it follows; at first
 MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
-# --- Cold engines and time.
-SAFE_PART = 0.75  # part of the stated multiple that we use: speed and chance are unknown
-SLOT = 0.33  # of a window: when one query is more than our part, gateways take turns by slots so long
+SAFE_PART, SLOT = 0.75, 0.33  # of the stated multiple; of a window, where our part is less than one query
 SWEEP_US, WATCH_US = 100_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
 REFRESH_US, DRAWS = 200_000, 3  # weights are at most so old; draws before all engines are looked through
 TOLD_MOST, TOLD_MEMORY, GRANT = 10.0, 20, 1.25  # what answers tell: at most, over so many; memory over that
@@ -64,10 +55,13 @@
 def heard(engine: Engine, now: int, report: api.LoadReport | None) -> None:
     if report is not None:
         engine.report, engine.report_at = report, now
-        if (load := report.utilisation) is not None:
-            engine.load, engine.busy_at = max(0.0, load), BUSY_UTILISATION
-        elif report.held is not None:
-            engine.load, engine.busy_at = max(0.0, report.held) / engine.cores, BUSY_HELD
+        used, held = report.utilisation, report.held and report.held / engine.cores
+        if used is not None:
+            engine.load, engine.busy_at = max(0.0, used), BUSY_UTILISATION
+        elif held is not None:
+            engine.load, engine.busy_at = max(0.0, held), BUSY_HELD
+        memory = max((report.memory_share or 0) / BUSY_MEMORY, 2.0 * ((report.memory_queue or 0) >= 1))
+        engine.strain = max((used or 0) / BUSY_UTILISATION, (held or 0) / BUSY_HELD, memory)
 
 
 def first_exposed(query: Query) -> Attempt | None:
@@ -86,11 +80,11 @@
         self.lines: dict[str, Line] = {}
         self.taken, self.further = deque[int](), deque[int]()
         self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
-        self.moving = 0  # attempts cancelled so that others take their place
+        self.out: dict[tuple[int, int], tuple[Query, Attempt]] = {}  # attempts without an outcome
         self.ready: list[Engine] = []  # engines that the list calls ready, kept in step with it
         self.phase = self.random.random()  # our turn among the gateways
         self.whole = Sent()  # what is kept of an engine, of all together
-        self.healthy = self.sparse = False  # some engine is well; most are unheard
+        self.healthy, self.losses = False, Mean()  # some engine is well; share of answers that do not come
         self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
         self.mean_span_us = 0.0  # cost per thread over all classes
@@ -110,8 +104,6 @@
     def _on(self, event: api.Event) -> None:
         """Events of other kinds tell nothing that a decision here needs."""
 
-    # --- Arrival, label and the ordinary path.
-
     @_on.register
     def _arrived(self, event: api.QueryArrived) -> None:
         if (cls := self.classes.get(event.class_name)) is None:  # nothing is known of its effects
@@ -121,13 +113,14 @@
         cost = cost if cost is not None else cls.cost.value or cls.settings.aim_us / 4
         span = cost * (cls.told_work.value or 1.0) / threads  # alone on its threads
         aim = self.now + cls.settings.aim_us + cls.settings.aim_stretch * span
-        known = (event.key, event.cost_us, event.memory_mb, event.give_up_us)
+        known = (event.cost_us, event.memory_mb, event.give_up_us)
         query = Query(event.query, cls, *known, threads, span, aim, min(aim, event.give_up_us))
         query.heavy = self._label(query)
         self.queries[query.id] = query
         self.taken.append(self.now)
-        if cls.settings.in_order and query.key is not None:
-            self.lines.setdefault(query.key, Line()).append(query)
+        if cls.settings.in_order and event.key is not None:
+            query.line = self.lines.setdefault(event.key, Line())
+            query.line.append(query)
         self._place(query)
 
     def _label(self, query: Query) -> bool:
@@ -161,8 +154,7 @@
         return True
 
     def _choose(self, query: Query, only: Engine | None) -> Engine | None:
-        """Drawn from the engines that take the query, of those not tried before if there are any. Most often
-        the first one drawn fits, and no fleet is ranked; given one that has changed, it alone is asked."""
+        """Drawn from those not tried before, or else again; most often the first fits and none is ranked."""
         tried = [a.engine for a in query.attempts]
         if only:
             return only if only not in tried and self._takes(query, only) else None
@@ -180,7 +172,7 @@
     def _takes(self, query: Query, engine: Engine) -> bool:
         """Failed engines come back one query at a time; full ones and failing ones rest a while."""
         if engine.fails:
-            rests = self.now < engine.down_until or (self.healthy and engine.running)
+            rests = self.now < engine.down_until or (self.healthy and engine.threads > 0)
         else:
             failing = self.healthy and engine.errors.now(self.now, ERROR_FADE_US) >= ERRORS_MOST
             rests = self.now < engine.full_until or failing
@@ -199,9 +191,8 @@
             return True
         if used and (query.heavy or used - engine.heavy_threads + threads > 1):
             return False
-        # A lone query is let in. Where our part of an engine is less than one query, the lone ones of many
-        # gateways would make a jam by themselves: then our part of the whole fleet bounds them, the long ones
-        # that pass as light together with the heavy ones, which keep no short one out.
+        # A lone query is let in. Where our part of an engine is less, those of many gateways would be a
+        # jam: our part of the fleet bounds them, long light ones with the heavy ones, short ones apart.
         whole = self.whole
         ours = whole.heavy_threads if query.heavy else whole.threads - (0 if long else whole.heavy_threads)
         small = engine.cores * self.share < threads
@@ -211,11 +202,9 @@
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
         if engine.stretch > PRESSED_STRETCH or self.now < engine.full_until:
             return True
-        report = engine.report if self.now - engine.report_at <= REPORT_AGE_US else None
-        memory = report and ((report.memory_queue or 0) >= 1 or (report.memory_share or 0) > BUSY_MEMORY)
-        most = STAMPEDE * self.whole.since.now(self.now, SINCE_US) / self.whole.cores
-        others = min(most, engine.since.now(self.now, SINCE_US)) * (1 / self.share - 1)  # they send alike
-        return bool(memory) or self._load(engine) + others > engine.busy_at
+        fresh = self.now - engine.report_at <= REPORT_AGE_US
+        others = engine.since.now(self.now, SINCE_US) * (1 / self.share - 1)  # they send as we do
+        return (fresh and engine.strain > 1) or self._load(engine) + others > engine.busy_at
 
     def _load(self, engine: Engine) -> float:
         load = engine.load if self.now - engine.report_at <= REPORT_AGE_US else None
@@ -226,8 +215,6 @@
         weight = engine.cores * (LOAD_FLOOR + self._load(engine)) ** -DRAW_POWER
         weight *= max(0.02, 1 - engine.errors.now(self.now, ERROR_FADE_US)) ** 4
         weight *= min(1.0, self.stretch / engine.stretch) ** 2
-        if self.sparse and self.now - engine.report_at > HEARD_US:
-            weight *= UNHEARD_WEIGHT
         engine.weight = weight * (0.1 if engine.fails else 1.0)
         self.sums = None
 
@@ -241,16 +228,15 @@
             e.stretch += (self.whole.stretch - e.stretch) * min(1.0, passed / STRETCH_FADE_US)
         self.stretch = sorted(e.stretch for e in ready)[len(ready) // 2]
         self.healthy = any(e.fails == 0 and e.errors.now(now, ERROR_FADE_US) < ERRORS_MOST for e in ready)
-        self.sparse = sum(now - e.report_at <= HEARD_US for e in ready) * 2 < len(ready)
         fresh = [e for e in ready if now - e.report_at <= REPORT_AGE_US]
         loads = [e.load for e in fresh if e.load is not None] or [0.0]
         self.mean_load = sum(loads) / len(loads)
         # Our part of the fleet is one of what is fit to use: not of what rests, is cold or is over-full.
         fit = [e for e in ready if e.fails == 0 and now >= max(e.full_until, e.cold_until)] or ready
-        self.whole.cores = sum(e.cores * e.busy_at / max(e.busy_at, self._load(e)) for e in fit)
+        self.whole.cores = sum(e.cores / (max(1.0, e.strain) if e in fresh else 1.0) for e in fit)
         held = sum(e.report.held or 0 for e in fresh if e.report) * len(ready) / max(1, len(fresh))
         if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
-            share = min(1.0, sum(len(e.running) for e in ready) / held)
+            share = min(1.0, len(self.out) / held)
             self.share += min(1.0, SHARE_GAIN * passed / REFRESH_US) * (
                 max(share, 0.5 / self.fleet) - self.share
             )
@@ -289,7 +275,8 @@
             self.taken.popleft()
         while self.further and self.further[0] < self.now - self.window - s.tick_us:
             self.further.popleft()
-        spent, taken = len(self.further) + self.moving + 1, len(self.taken)
+        moving = sum(attempt.moving for _, attempt in self.out.values())
+        spent, taken = len(self.further) + moving + 1, len(self.taken)
         stated = s.budget_share is None or spent <= s.budget_free + s.budget_share * taken
         return stated and spent <= OWN_FREE + OWN_SHARE * taken
 
@@ -326,12 +313,9 @@
         turn = (self.now / period + self.phase) % 1.0 * period < SLOT * s.tip_after_us
         return turn and not engine.cold_sent and work <= 2 * min(c.work_us for c in self.classes.values())
 
-    def _line(self, query: Query) -> Line | None:
-        return self.lines.get(query.key) if query.cls.settings.in_order and query.key is not None else None
-
     def _turn(self, query: Query) -> bool:
         """Rule 5: the query heads its key's line, and the key has rested."""
-        line = self._line(query)
+        line = query.line
         return not line or (line[0] is query and bool(query.attempts or self.now >= line.rest_until))
 
     def _send(self, query: Query, engine: Engine) -> None:
@@ -348,7 +332,7 @@
             self.further.append(self.now)
         query.attempts.append(attempt)
         query.out += 1
-        engine.running[query.id, attempt.number] = attempt
+        self.out[query.id, attempt.number] = query, attempt
         for sent in (engine, self.whole):
             sent.threads += query.threads
             sent.heavy_threads += query.threads if query.heavy else 0
@@ -365,12 +349,10 @@
             most = s.kind_memory_mb.get(engine.kind, math.inf) * s.max_grant_share
             grant = round(min(most, query.memory_mb * told * GRANT), 1)
         if s.priorities_heeded:
-            short = query.cls.work_us / query.threads < self.mean_span_us / 2
-            priority = 0 if self.now > query.aim_at else (3 if short else 2) - query.heavy
+            brief = query.cls.work_us / query.threads < self.mean_span_us / 2
+            priority = 0 if self.now > query.aim_at else (3 if brief else 2) - query.heavy
         return grant, priority
 
-    # --- Ends.
-
     def _end(self, query: Query) -> None:
         """Our final answer: a refusal where a retry does no harm for certain, else a failure."""
         cls, exposed = query.cls.settings, first_exposed(query)
@@ -389,10 +371,9 @@
         if query.out:
             return
         self.queries.pop(query.id, None)
-        line = self._line(query)
-        if line and query.key is not None and query in line:
-            line.remove(query)
-            self._next_in_line(line)
+        if query.line and query in query.line:
+            query.line.remove(query)
+            self._next_in_line(query.line)
 
     def _cancel(self, query: Query, attempt: Attempt) -> None:
         if self.settings.cancel_allowed and attempt.outcome is None and not attempt.cancelled:
@@ -410,32 +391,21 @@
         if query := self.queries.get(event.query):
             self._close(query)
 
-    # --- Outcomes, notes and probes.
-
-    def _find(self, query_id: int, number: int) -> tuple[Query, Attempt] | None:
-        """The query and its attempt while that is out; words on others come late, twice or unasked."""
-        query = self.queries.get(query_id)
-        if query is None or number >= len(query.attempts) or query.attempts[number].outcome:
-            return None
-        return query, query.attempts[number]
-
     @_on.register
     def _ended(self, event: api.AttemptEnded) -> None:
-        if (found := self._find(event.query, event.attempt)) is None:
-            return
+        if (found := self.out.pop((event.query, event.attempt), None)) is None:
+            return  # told late, twice or unasked
         query, attempt = found
         engine, attempt.outcome = attempt.engine, event.outcome
         query.out -= 1
-        self.moving -= attempt.moving
-        engine.running.pop((query.id, attempt.number), None)
         for sent in (engine, self.whole):
             sent.threads -= query.threads
             sent.heavy_threads -= query.threads if attempt.heavy else 0
         heard(engine, self.now, event.report)
         self._judge(query, attempt, event)
         self._weigh(engine)
-        if event.outcome in MAY_STILL_RUN and (line := self._line(query)) is not None:
-            line.rest_until = self.now + self.settings.order_settle_us
+        if event.outcome in MAY_STILL_RUN and query.line is not None:
+            query.line.rest_until = self.now + self.settings.order_settle_us
         if event.final or query.done:
             self._close(query)
         elif not query.out:
@@ -445,24 +415,42 @@
     def _judge(self, query: Query, attempt: Attempt, event: api.AttemptEnded) -> None:
         """What an outcome tells of the engine and of the class."""
         engine, outcome, cls = attempt.engine, event.outcome, query.cls
-        if outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
-            self._down(engine)
-        elif outcome is api.Outcome.FULL:
-            rest = min(DOWN_MOST_US, FULL_REST_US << min(engine.fulls, 4))  # it may hang, or all come at once
-            engine.full_until, engine.fulls, engine.alive_at = self.now + rest, engine.fulls + 1, self.now
-        elif outcome in (api.Outcome.OK, api.Outcome.ERROR):
+        self._verdict(engine, outcome)
+        if outcome in (api.Outcome.OK, api.Outcome.ERROR):
             engine.alive_at = self.now
-            rate, error = engine.errors.now(self.now, ERROR_FADE_US), float(outcome is api.Outcome.ERROR)
-            engine.errors.value += ERROR_GAIN * (error - rate)
+        elif (
+            outcome is api.Outcome.RESET
+        ):  # an answer is lost, or the engine died if nothing else came from it
+            self._count(engine, 1.0, 1.0)
+            if engine.alive_at <= attempt.sent_at:
+                engine.full_until = self.now + FULL_REST_US
         if outcome is not api.Outcome.OK:
             return
         engine.fails = engine.fulls = 0
+        self._count(engine, 0.0, 0.0)
         self._stretch(query, engine, event.elapsed_us, event.elapsed_us)
         if event.work_ms and query.cost_us:
             cls.told_work.add(min(event.work_ms * 1000 / query.cost_us, TOLD_MOST), TOLD_MEMORY)
         if event.memory_mb and query.memory_mb:
             cls.told_memory.add(min(event.memory_mb / query.memory_mb, TOLD_MOST), TOLD_MEMORY)
 
+    def _verdict(self, engine: Engine, outcome: api.Outcome) -> None:
+        if outcome is api.Outcome.CONNECT_FAILED:
+            self._down(engine)
+        elif outcome is api.Outcome.FULL:
+            rest = min(DOWN_MOST_US, FULL_REST_US << min(engine.fulls, 4))  # it may hang, or all come at once
+            engine.full_until, engine.fulls, engine.alive_at = self.now + rest, engine.fulls + 1, self.now
+        elif outcome is api.Outcome.ERROR:
+            self._count(engine, 1.0, 0.0)
+
+    def _count(self, engine: Engine, error: float, loss: float) -> None:
+        known = math.exp(
+            (engine.errors.at - self.now) / ERROR_FADE_US
+        )  # the less is known, the more one tells
+        error -= engine.errors.now(self.now, ERROR_FADE_US)
+        engine.errors.value += max(ERROR_GAIN, 1 - known) * error
+        self.losses.add(loss, LOSS_MEMORY)
+
     def _stretch(self, query: Query, engine: Engine, elapsed_us: float, total_us: float) -> None:
         """An elapsed time against the estimate; runaways count too, else a jam looks quick, but not
         what a dead engine held: that tells of no other engine, and had all else refused as late."""
@@ -472,23 +460,23 @@
             recent.add(ratio, BEST_OVER)  # single lucky ones say nothing: estimates scatter
             cls.best = min(cls.best * BEST_RISE, recent.value) if recent.count > BEST_OVER else recent.value
         cls.high *= 1 + HIGH_STEP * (HIGH_PART - (total_us / span < cls.high))
-        engine.stretch += STRETCH_GAIN * (min(ratio / cls.best, 10.0) - engine.stretch)
-        bounds: list[tuple[Sent, float]] = [(engine, WIDTH_STEP)]
-        if query.span_us > self.mean_span_us:  # where priorities are heeded, short ones look well in any jam
-            whole = self.whole
-            whole.stretch += STRETCH_GAIN * (min(ratio / cls.best, 2 * whole.stretch) - whole.stretch)
-            bounds.append((whole, WHOLE_STEP))
-        for sent, step in bounds:
-            sent.width += step if sent.stretch < PRESSED_STRETCH else -step
-            sent.width = min(WIDTH_MOST, max(WIDTH_LEAST, sent.width))
+        long = (
+            query.span_us > self.mean_span_us
+        )  # where priorities are heeded, short ones look well in any jam
+        parts = [(engine, WIDTH_STEP, 10.0), (self.whole, WHOLE_STEP, 2 * self.whole.stretch)]
+        for sent, step, most in parts[: 1 + long]:
+            sent.stretch += STRETCH_GAIN * (min(ratio / cls.best, most) - sent.stretch)
+            width = sent.width + (step if sent.stretch < PRESSED_STRETCH else -step)
+            sent.width = min(WIDTH_MOST, max(WIDTH_LEAST, width))
 
     def _down(self, engine: Engine) -> None:
         """The engine failed us: it rests, longer each time, and what it holds is tried elsewhere."""
         if self.now >= engine.down_until:
             engine.fails += 1
             engine.down_until = self.now + min(DOWN_MOST_US, DOWN_US << min(engine.fails - 1, 4))
-        for (query_id, _), attempt in list(engine.running.items()):
-            self._elsewhere(self.queries[query_id], attempt)
+        for query, attempt in list(self.out.values()):
+            if attempt.engine is engine:
+                self._elsewhere(query, attempt)
 
     def _elsewhere(self, query: Query, attempt: Attempt) -> None:
         """Give up one attempt for another; the result of the cancelled one brings the next."""
@@ -497,15 +485,17 @@
         if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
             attempt.moving = True
-            self.moving += 1
 
     @_on.register
     def _noted(self, event: api.AttemptNote) -> None:
-        found = self._find(event.query, event.attempt)
-        if found is None or event.topic is not api.Topic.PROGRESS or event.value <= found[1].share:
+        if (found := self.out.get((event.query, event.attempt))) is None:
             return
         query, attempt = found
-        attempt.share, attempt.engine.alive_at = event.value, self.now
+        if event.topic is api.Topic.WAIT:
+            attempt.heard_at = self.now
+        if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
+            return
+        attempt.share, attempt.heard_at, attempt.engine.alive_at = event.value, self.now, self.now
         total = (self.now - attempt.sent_at) / max(event.value, 0.02)
         finish, fresh = attempt.sent_at + total, self._expected_us(query)
         bad = total > RUNAWAY * query.span_us * query.cls.high and finish > query.aim_at
@@ -519,13 +509,12 @@
             return
         engine.probing = False
         heard(engine, self.now, event.report)
-        if event.outcome is api.Outcome.CONNECT_FAILED and not engine.fails:
+        if event.outcome is api.Outcome.TIMEOUT and self._most_well():
             self._down(engine)
+        self._verdict(engine, event.outcome)
         self._weigh(engine)
         self._release(engine)
 
-    # --- The engine list.
-
     @_on.register
     def _listed(self, event: api.EngineList) -> None:
         if event.kind is api.ListKind.FAILED:  # the list in hand stays in force
@@ -537,7 +526,7 @@
         for entry in event.entries:
             self._entry(entry)
         gone, ready = api.EngineState.GONE, api.EngineState.READY
-        self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.running}
+        self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.threads}
         self.ready = [e for e in self.engines.values() if e.state is ready]
         self.refreshed_at, self.sums = 0, None
         self._release()
@@ -555,13 +544,10 @@
                 engine.fails, engine.stretch, engine.errors.value = 0, 1.0, 0.0
             engine.cold_until = max(engine.cold_until, cold_until)
 
-    # --- Housekeeping.
-
     @_on.register
     def _timer(self, event: api.TimerFired) -> None:
-        if event.token == WATCH:
-            self.actions.append(api.WatchList(True))
         if event.token != SWEEP:
+            self.actions += [api.WatchList(True)] * (event.token == WATCH)
             return
         self.actions.append(api.SetTimer(SWEEP, self.now + SWEEP_US))
         for query in list(self.queries.values()):
@@ -571,22 +557,33 @@
             self._next_in_line(line)
             if not line and self.now >= line.rest_until:
                 del self.lines[key]
-        well = sum(e.fails > 0 for e in self.ready) * 2 <= len(self.ready)
-        for engine in self.engines.values():  # half of the fleet silent: then it is no engine's fault
-            if engine.running and well and self._silent(engine):
+        for query, attempt in list(self.out.values()):
+            engine, limit = attempt.engine, self._patience(query, attempt)
+            if attempt.cancelled or self.now - max(attempt.sent_at, attempt.heard_at) <= limit:
+                continue
+            if (
+                self.now - max(attempt.sent_at, engine.alive_at) <= limit
+            ):  # the engine lives: an answer is lost
+                attempt.heard_at = self.now
+                self._count(engine, 1.0, 1.0)
+                self._elsewhere(query, attempt)
+            elif self._most_well():
                 self._down(engine)
         if self.whole.threads:
             self._refresh()
         self._probe()
         self._release()
 
-    def _silent(self, engine: Engine) -> bool:
-        """No sign of life for much longer than what runs there should need, or than its notes are apart."""
-        pace = self.settings.progress_us * NOTES_MISSED or math.inf
-        return any(
-            self.now - max(a.sent_at, engine.alive_at) > max(SILENT_US, min(pace, PATIENCE * a.expected_us))
-            for a in engine.running.values()
-        )
+    def _most_well(self) -> bool:  # half of the fleet silent: no engine's fault, and none is shut out
+        return sum(e.fails > 0 for e in self.ready) * 2 <= len(self.ready)
+
+    def _patience(self, query: Query, attempt: Attempt) -> float:
+        """How long an attempt may give no sign; less where answers get lost and another would be in time."""
+        expected, pace = attempt.expected_us, self.settings.progress_us * NOTES_MISSED or math.inf
+        limit = max(SILENT_US, min(pace, PATIENCE * expected))
+        if self.losses.value > LOSSY and self.now + expected < query.aim_at:
+            limit = min(limit, max(HASTY_US, HASTE * expected))
+        return limit
 
     def _probe(self) -> None:
         """The engines longest unheard, at a rate that our queries pay for; more often where a small gateway
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -62,11 +62,11 @@
     state: api.EngineState = api.EngineState.GONE
     cold_until: int = 0
     cold_sent: deque[tuple[int, float]] = field(default_factory=deque)  # (time, usual work) sent while cold
-    running: dict[tuple[int, int], "Attempt"] = field(default_factory=dict)
     report: api.LoadReport | None = None
     report_at: int = LONG_AGO
     load: float | None = None  # as reported
     busy_at: float = 0.0  # the level of load that counts as busy
+    strain: float = 0.0  # the worst of what it reported, against what counts as busy
     errors: Fading = field(default_factory=Fading)  # share of attempts that fail
     fails: int = 0  # rests since it last answered
     down_until: int = 0
@@ -107,6 +107,7 @@
     cancelled: bool = False
     moving: bool = False  # cancelled so that another takes its place
     share: float = 0.0  # done, as notes tell
+    heard_at: int = LONG_AGO  # the last note
 
 
 @dataclass(slots=True, eq=False)
@@ -115,7 +116,6 @@
 
     id: int
     cls: ClassState
-    key: str | None
     cost_us: float | None
     memory_mb: float | None
     give_up: int
@@ -126,7 +126,8 @@
     heavy: bool = False
     done: bool = False
     attempts: list[Attempt] = field(default_factory=list)
-    out: int = 0
+    out: int = 0  # attempts without an outcome
+    line: "Line | None" = None  # of its key, where its class keeps an order
     terms: tuple[float, int] = (0, 1)  # the engine's choice of memory, the usual priority
 
 
