--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -472,3 +472,12 @@
     driver = fleet(1)
     driver.report("e0", utilisation=0.5, held=40)
     assert driver.gateway._pressed(driver.gateway.engines["e0"])
+
+
+def test_noise_in_progress_is_no_silence() -> None:
+    driver = fleet()
+    driver.ask(1, cost_us=30.0 * SECOND, give_up_us=driver.now + 90 * SECOND)
+    name = where(driver, 1)
+    for step in range(1, 15):
+        driver.tell(api.AttemptNote(1, 0, name, api.Topic.PROGRESS, 0.4 + step / 100 - step % 2 / 10))
+        assert not cancels(driver.wait(SECOND))
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -493,8 +493,8 @@
         query, attempt = found
         if event.topic is api.Topic.WAIT:
             attempt.heard_at = self.now
-        if event.topic is not api.Topic.PROGRESS or event.value <= attempt.share:
-            return
+        if event.topic is not api.Topic.PROGRESS or event.value == attempt.share:
+            return  # the same share to the last digit is a frozen one; a lower one is noise
         attempt.share, attempt.heard_at, attempt.engine.alive_at = event.value, self.now, self.now
         total = (self.now - attempt.sent_at) / max(event.value, 0.02)
         finish, fresh = attempt.sent_at + total, self._expected_us(query)
