--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -32,7 +32,7 @@
 SILENT_US, PATIENCE, NOTES_MISSED = 1_000_000, 6.0, 2.2  # silence: least; times the expected; notes apart
 LOSSY, LOSS_MEMORY = 0.02, 200  # where more than this share of answers, of so many, do not come: be hasty
 HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience then
-ERRORS_SEEN, ERRORS_MOST = 0.1, 0.5  # of its queries: no load below the mean; left alone while others do not
+ERRORS_MOST = 0.5  # an engine that fails more of its queries is left alone while others do not
 ERROR_GAIN, ERROR_FADE_US = 0.2, 20_000_000  # least weight of one answer, and how fast what is known fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
@@ -212,9 +212,8 @@
 
     def _weigh(self, engine: Engine) -> None:
         """Its part in the draw: against reported load and our sends since, then what tells of its health."""
-        load, errors = self._load(engine), engine.errors.now(self.now, ERROR_FADE_US)
-        load = max(load, self.mean_load) if errors > ERRORS_SEEN else load  # what fails fast looks idle
-        weight = engine.cores * (LOAD_FLOOR + load) ** -DRAW_POWER * max(0.02, 1 - errors) ** 4
+        weight = engine.cores * (LOAD_FLOOR + self._load(engine)) ** -DRAW_POWER
+        weight *= max(0.02, 1 - engine.errors.now(self.now, ERROR_FADE_US)) ** 4
         weight *= min(1.0, self.stretch / engine.stretch) ** 2
         engine.weight = weight * (0.1 if engine.fails else 1.0)
         self.sums = None
