Let expected times fall back to the best within ten seconds

Covers restarts and mixes that change; may hurt where a fleet stays slow and answers are rare: queries are then sent that come late.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -17,6 +17,7 @@
 LEARN_QUERIES, MEAN_MEMORY = 20, 500  # all of a class is light until then; the mean is over so many
 # --- Pressure: what makes the heavy bound bind.
 PRESSED_STRETCH = 1.7  # latency this many times the class's best: threads clearly share cores
+RECENT_FADE_US = 10_000_000  # expected times fall back to the best so fast
 BEST_OVER, BEST_RISE = 20, 1.0005  # answers that "best" is smoothed over; it rises slowly, lest it grow stale
 BUSY_UTILISATION, BUSY_HELD, BUSY_MEMORY = 0.95, 1.5, 0.7  # of the cores; a core; share of memory granted
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed and rests, longer each time
@@ -33,7 +34,7 @@
 LOSSY, LOSS_MEMORY = 0.02, 200  # where more than this share of answers, of so many, do not come: be hasty
 HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience then
 ERRORS_MOST = 0.5  # an engine that fails more of its queries is left alone while others do not
-ERROR_GAIN, ERROR_FADE_US = 0.2, 20_000_000  # least weight of one answer, and how fast what is known fades
+ERROR_GAIN, ERROR_FADE_US = 0.2, 20_000_000  # weight of one answer, and how fast what is known fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
 PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
@@ -226,6 +227,8 @@
         self.refreshed_at = now
         for e in ready:  # one that we seldom hear of fares as the others do
             e.stretch += (self.whole.stretch - e.stretch) * min(1.0, passed / STRETCH_FADE_US)
+        for cls in self.classes.values():  # a jam must not outlive itself where a class is seldom answered
+            cls.recent.value += (cls.best - cls.recent.value) * min(1.0, passed / RECENT_FADE_US)
         self.stretch = sorted(e.stretch for e in ready)[len(ready) // 2]
         self.healthy = any(e.fails == 0 and e.errors.now(now, ERROR_FADE_US) < ERRORS_MOST for e in ready)
         fresh = [e for e in ready if now - e.report_at <= REPORT_AGE_US]
@@ -444,11 +447,7 @@
             self._count(engine, 1.0, 0.0)
 
     def _count(self, engine: Engine, error: float, loss: float) -> None:
-        known = math.exp(
-            (engine.errors.at - self.now) / ERROR_FADE_US
-        )  # the less is known, the more one tells
-        error -= engine.errors.now(self.now, ERROR_FADE_US)
-        engine.errors.value += max(ERROR_GAIN, 1 - known) * error
+        engine.errors.value += ERROR_GAIN * (error - engine.errors.now(self.now, ERROR_FADE_US))
         self.losses.add(loss, LOSS_MEMORY)
 
     def _stretch(self, query: Query, engine: Engine, elapsed_us: float, total_us: float) -> None:
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -68,7 +68,6 @@
     busy_at: float = 0.0  # the level of load that counts as busy
     strain: float = 0.0  # the worst of what it reported, against what counts as busy
     errors: Fading = field(default_factory=Fading)  # share of attempts that fail
-    counted_at: int = LONG_AGO  # when it was last counted whether one fails
     fails: int = 0  # rests since it last answered
     down_until: int = 0
     alive_at: int = 0
