--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -34,7 +34,7 @@
 LOSSY, LOSS_MEMORY = 0.02, 200  # where more than this share of answers, of so many, do not come: be hasty
 HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience then
 ERRORS_MOST = 0.5  # an engine that fails more of its queries is left alone while others do not
-ERROR_GAIN, ERROR_FADE_US = 0.2, 20_000_000  # weight of one answer, and how fast what is known fades
+ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one answer, and how fast what is known fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
 PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
@@ -490,8 +490,8 @@
         if (found := self.out.get((event.query, event.attempt))) is None:
             return
         query, attempt = found
-        if event.topic is api.Topic.WAIT:
-            attempt.heard_at = self.now
+        if event.topic is api.Topic.WAIT:  # told once: it is quiet from then until it goes on
+            attempt.heard_at = query.give_up
         if event.topic is not api.Topic.PROGRESS or event.value == attempt.share:
             return  # the same share to the last digit is a frozen one; a lower one is noise
         attempt.share, attempt.heard_at, attempt.engine.alive_at = event.value, self.now, self.now
@@ -510,7 +510,8 @@
         heard(engine, self.now, event.report)
         if event.outcome is api.Outcome.TIMEOUT and self._most_well():
             self._down(engine)
-        self._verdict(engine, event.outcome)
+        if event.outcome is not api.Outcome.ERROR:  # what fails fast still serves some, while others are full
+            self._verdict(engine, event.outcome)
         self._weigh(engine)
         self._release(engine)
 
