--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -490,8 +490,8 @@
         if (found := self.out.get((event.query, event.attempt))) is None:
             return
         query, attempt = found
-        if event.topic is api.Topic.WAIT:  # told once: it is quiet from then until it goes on
-            attempt.heard_at = query.give_up
+        if event.topic is api.Topic.WAIT:  # told once; what then waits for long is better off elsewhere
+            attempt.heard_at = self.now
         if event.topic is not api.Topic.PROGRESS or event.value == attempt.share:
             return  # the same share to the last digit is a frozen one; a lower one is noise
         attempt.share, attempt.heard_at, attempt.engine.alive_at = event.value, self.now, self.now
