Cut the CPU a query costs: rows encoded a page, one-pattern lexer, one timer a query

Rows are now encoded as their page arrives, the lexer is one pattern, the module's dispatch is looked up without a wrapper, writes need no task an answer.

--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -98,7 +98,7 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now, self.actions = now, []
-        self._on(event)
+        type(self).__dict__["_on"].dispatcher.dispatch(type(event))(self, event)
         return self.actions
 
     @singledispatchmethod
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 from whintrail.gateway.buffer import Buffer
@@ -30,8 +31,10 @@
 class Connection:
     """Whoever holds it reads; what is written goes out in order through a single task."""
 
-    def __init__(self, sock: socket.socket, buffer: Buffer) -> None:
-        self.sock, self.buffer = sock, buffer
+    def __init__(
+        self, sock: socket.socket, buffer: Buffer, on_sent: Callable[[], None] | None = None
+    ) -> None:
+        self.sock, self.buffer, self.on_sent = sock, buffer, on_sent
         self.loop = asyncio.get_running_loop()
         self.sent = asyncio.Event()  # set while nothing waits to be written
         self.sent.set()
@@ -64,6 +67,8 @@
                         self.sock.shutdown(socket.SHUT_RDWR)  # the reader sees the end
                     return
             self.sent.set()
+            if self.on_sent is not None:
+                self.on_sent()
 
     async def receive(self) -> bool:
         """Wait for bytes; False once the other side has ended or broken the connection."""
--- a/whintrail/gateway/enginelines.py
+++ b/whintrail/gateway/enginelines.py
@@ -9,7 +9,6 @@
 from whintrail.gateway.buffer import Buffer
 
 END = b"\r\n"
-COLUMNS = 3
 ANSWERS = ("served", "overload", "crashed", "nobody", "update", "rows", "green", "red")
 
 
@@ -102,10 +101,3 @@
     pairs = (item.partition("=") for item in text.split(",")) if text != "-" else ()
     fields = {name: value for name, _, value in pairs}
     return Answer(words[0], word, fields, data[start : start + length])
-
-
-def whole_rows(text: bytes) -> bool:
-    """A page holds whole rows: a tab between columns, a line feed after each row."""
-    if not text:
-        return True
-    return text.endswith(b"\n") and all(row.count(b"\t") == COLUMNS - 1 for row in text[:-1].split(b"\n"))
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -17,6 +17,7 @@
     accept_backlog: int
     # Sizes in bytes.
     first_buffer: int
+    link_buffer: int
     startup_bytes: int
     query_bytes: int
     engine_line_bytes: int
@@ -53,6 +54,7 @@
             engine_connections=max(8, sockets * 35 // 100),
             accept_backlog=min(1024, max(128, sockets)),
             first_buffer=2048,
+            link_buffer=65_536,
             startup_bytes=10_000,
             query_bytes=max(16_384, min(MEGABYTE, int(memory * MEGABYTE / 4 / clients))),
             engine_line_bytes=4096,
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -16,6 +16,7 @@
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
 from whintrail.gateway.owner import Attempt, Ended, Inbox, Listed, Noted, Probed
+from whintrail.gateway.postgres import Rows, data_rows
 
 TOPICS = {"done": api.Topic.PROGRESS, "spills": api.Topic.SPILL, "waits": api.Topic.WAIT}
 ENDS = {"overload": api.Outcome.FULL, "crashed": api.Outcome.ERROR, "nobody": api.Outcome.MOOT}
@@ -28,7 +29,7 @@
 
     attempt: Attempt
     total: int = 0  # pages; 0 until it is served
-    pages: dict[int, bytes] = field(default_factory=dict)
+    pages: dict[int, Rows] = field(default_factory=dict)
     served: lines.Answer | None = None
 
 
@@ -124,8 +125,11 @@
             async with asyncio.timeout(self.limits.connect_s):
                 await loop.sock_connect(sock, address(self.where))
             prepare(sock)
-            most = self.limits.engine_line_bytes + self.limits.page_bytes + len(lines.END)
-            self.connection = Connection(sock, Buffer(self.limits.first_buffer, most))
+            most = max(
+                self.limits.link_buffer,
+                self.limits.engine_line_bytes + self.limits.page_bytes + len(lines.END),
+            )
+            self.connection = Connection(sock, Buffer(self.limits.link_buffer, most))
             lost = api.Outcome.RESET
             for carried in list(self.carried.values()):
                 self._write_do(carried.attempt)
@@ -210,10 +214,11 @@
 
     def _keep(self, carried: Carried, number: int, page: bytes) -> bool:
         """Keep a page; the last one ends the attempt. False if nothing more is to come of it."""
-        if not lines.whole_rows(page):
-            self._unreadable(carried, f"page {number} doesn't hold whole rows")
+        try:
+            carried.pages[number] = data_rows(page)
+        except ValueError as error:
+            self._unreadable(carried, f"page {number}: {error}")
             return False
-        carried.pages[number] = page
         if len(carried.pages) < carried.total:
             return True
         served = carried.served
@@ -228,6 +233,8 @@
             report=self.pool.report(served),
             pages=[carried.pages[n] for n in range(carried.total)],
         )
+        self.pool.counters.add("answers", "pages", carried.total)
+        self.pool.counters.add("answers", "rows", sum(page.count for page in ended.pages or []))
         self._end(carried, ended)
         return False
 
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -16,13 +16,14 @@
 from whintrail.gateway.counters import Counters
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
+from whintrail.gateway.postgres import Rows
 from whintrail.gateway.statement import Statement
 
 
 class Client(Protocol):
     """Who asked. Each answer is for the query that it names; one for another query is dropped."""
 
-    def serve(self, query: "Query", pages: list[bytes]) -> None: ...
+    def serve(self, query: "Query", pages: list[Rows]) -> None: ...
     def refuse(self, query: "Query", pause_us: int | None) -> None: ...
     def fail(self, query: "Query", reason: str) -> None: ...
 
@@ -64,36 +65,36 @@
     over: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Asked:
     query: Query
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Gone:
     """The client left, or takes no answer any more."""
 
     query: Query
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     attempt: Attempt
     outcome: api.Outcome
     work_ms: float | None = None
     memory_mb: float | None = None
     report: api.LoadReport | None = None
-    pages: list[bytes] | None = None
+    pages: list[Rows] | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Noted:
     attempt: Attempt
     topic: api.Topic
     value: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Probed:
     engine: str
     outcome: api.Outcome
@@ -101,7 +102,7 @@
     report: api.LoadReport | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Listed:
     """An event of the engine list, with the addresses of its engines."""
 
@@ -109,7 +110,7 @@
     addresses: dict[str, str]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Stop:
     """What is still open fails now."""
 
@@ -239,7 +240,7 @@
         query.give_up_us = query.taken_us + ttl_us
         self.queries[query.number] = query
         self.counters.add("queries", "taken")
-        self._at(query.give_up_us + self.limits.answer_slack_us, lambda: self._overdue(query))
+        self._at(query.give_up_us, lambda: self._time_up(query))
         self._tell(
             api.QueryArrived(
                 query=query.number,
@@ -290,6 +291,14 @@
             query.client.fail(query, why)
             self._gone(query, why)
 
+    def _time_up(self, query: Query) -> None:
+        """The client's time has run out, and with it that of the attempts that are out."""
+        for attempt in list(query.out.values()):
+            self._timed_out(attempt)
+        if not query.over:
+            overdue_us = query.give_up_us + self.limits.answer_slack_us
+            self._at(overdue_us, lambda: self._overdue(query))
+
     def _overdue(self, query: Query) -> None:
         """The module ends every query in time; should one be left, its client still gets an answer."""
         if not query.over:
@@ -347,7 +356,8 @@
             self.inbox.put(Ended(attempt, api.Outcome.MOOT))
             return
         self.counters.add("attempts", "sent")
-        self._at(limit, lambda: self._timed_out(attempt))
+        if limit < query.give_up_us:
+            self._at(limit, lambda: self._timed_out(attempt))
         self.engines.send(attempt)
 
     def _set_terms(self, number: int, grant_mb: float, priority: int) -> None:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -128,9 +128,43 @@
     return _message(b"T", struct.pack("!H", len(columns)) + b"".join(columns))
 
 
-def data_row(values: list[bytes]) -> bytes:
-    body = b"".join(_length.pack(len(value)) + value for value in values)
-    return _head.pack(b"D", 6 + len(body)) + struct.pack("!H", len(values)) + body
+@dataclass(frozen=True, slots=True)
+class Rows:
+    """Rows of a result as the client gets them."""
+
+    count: int
+    data: bytes
+
+
+COLUMNS = 3  # of every result
+MOST_TEXT = 6000  # in one row; heads and lengths up to that are made once, as rows are many
+_column_lengths = [_length.pack(n) for n in range(MOST_TEXT + 1)]
+_row_heads = [
+    _head.pack(b"D", 6 + 4 * COLUMNS + n) + struct.pack("!H", COLUMNS) for n in range(MOST_TEXT + 1)
+]
+
+
+def data_rows(text: bytes) -> Rows:
+    """Whole rows, a tab between columns and a line feed after each; ValueError where they are not."""
+    if not text:
+        return Rows(0, b"")
+    if len(text) > MOST_TEXT or text[-1] != 0x0A:
+        raise ValueError("not whole rows")
+    lengths, heads = _column_lengths, _row_heads
+    parts: list[bytes] = []
+    rows = text[:-1].split(b"\n")
+    for row in rows:
+        first, second, third = row.split(b"\t")
+        parts += (
+            heads[len(row) - 2],
+            lengths[len(first)],
+            first,
+            lengths[len(second)],
+            second,
+            lengths[len(third)],
+            third,
+        )
+    return Rows(len(rows), b"".join(parts))
 
 
 def command_complete(tag: str) -> bytes:
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -74,7 +74,8 @@
         except OSError as error:
             raise StartError(f"can't listen on {self.listen[0]}:{self.listen[1]}: {error}") from error
         owner = loop.create_task(self.owner.run())
-        tasks = [loop.create_task(self.bulletin.run()), loop.create_task(self.sessions.accept())]
+        accepting = loop.create_task(self.sessions.accept())
+        tasks = [accepting, loop.create_task(self.bulletin.run()), loop.create_task(self.sessions.watch())]
         gc.collect()
         gc.freeze()
         self.log.always(f"serves on {self.listen[0]}:{self.listen[1]}")
@@ -85,7 +86,7 @@
                 for task in (owner, *tasks):
                     if task.done():
                         task.result()
-            await self._stop(tasks)
+            await self._stop(accepting)
         finally:
             for task in (owner, stopping, *tasks):
                 task.cancel()
@@ -94,15 +95,15 @@
             await self.links.close()
             self.print_counters()
 
-    async def _stop(self, tasks: list["asyncio.Task[None]"]) -> None:
+    async def _stop(self, accepting: "asyncio.Task[None]") -> None:
         """Go on taking in for a while, finish what is open, fail at last what would not be."""
         loop = asyncio.get_running_loop()
         start = loop.time()
         self.log.always("stops")
         await asyncio.sleep(self.limits.accept_after_stop_s)
-        tasks[1].cancel()
+        accepting.cancel()
         with suppress(asyncio.CancelledError):
-            await tasks[1]
+            await accepting
         self.sessions.accept_last()
         while loop.time() < start + self.limits.finish_after_stop_s:
             await asyncio.sleep(0.02)
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -34,9 +34,11 @@
         self.sessions, self.process = sessions, process
         self.limits, self.inbox, self.counters = sessions.limits, sessions.inbox, sessions.counters
         self.secret = secrets.randbits(32)
-        self.connection = Connection(sock, Buffer(self.limits.first_buffer, self.limits.query_bytes))
+        buffer = Buffer(self.limits.first_buffer, self.limits.query_bytes)
+        self.connection = Connection(sock, buffer, self._sent)
         self.query: Query | None = None  # open, without an answer
         self.answering = False  # an answer is being written
+        self.answered_at = 0.0
         self.started = False
         self.skipping = False  # until Sync, after an error in the extended protocol
         self.ended = False  # nothing more is read from the client or owed to it
@@ -162,19 +164,13 @@
         if query is not self.query:
             return
         self.query, self.answering = None, True
-        self.connection.write(data + pg.READY)
-        self.connection.loop.create_task(self._written())
+        self.answered_at = self.connection.loop.time()
+        self.connection.write(data)
 
-    async def _written(self) -> None:
-        try:
-            async with asyncio.timeout(self.limits.client_write_s):
-                await self.connection.sent.wait()
-        except TimeoutError:  # a client that reads nothing
-            self.counters.add("sessions", "stalled")
-            self.sessions.drop(self)
-            return
-        self.answering = False
-        if not self.ended:
+    def _sent(self) -> None:
+        """All that was to be written is: the next query may be taken."""
+        if self.answering:
+            self.answering = False
             self._advance()
 
     def _end(self, last: bytes = b"") -> None:
@@ -183,23 +179,25 @@
         self.ended = True
         self.free.set()
 
-    def serve(self, query: Query, pages: list[bytes]) -> None:
-        rows = [row.split(b"\t") for page in pages for row in page.split(b"\n")[:-1]]
-        data = b"".join(map(pg.data_row, rows))
-        self._answer(query, COLUMNS + data + pg.command_complete(f"SELECT {len(rows)}"))
+    def serve(self, query: Query, pages: list[pg.Rows]) -> None:
+        count = sum(page.count for page in pages)
+        rows = [page.data for page in pages]
+        self._answer(query, b"".join([COLUMNS, *rows, pg.command_complete(f"SELECT {count}"), pg.READY]))
 
     def refuse(self, query: Query, pause_us: int | None) -> None:
         pause = "" if pause_us is None else f", pushback={-(-pause_us // 1000)}"
-        self._answer(query, pg.error(pg.REFUSED, f"refused, not for good: try again{pause}"))
+        self._answer(query, pg.error(pg.REFUSED, f"refused, not for good: try again{pause}") + pg.READY)
 
     def fail(self, query: Query, reason: str) -> None:
-        self._answer(query, pg.error(pg.FAILED, f"the query failed ({reason}) and may have run"))
+        self._answer(query, pg.error(pg.FAILED, f"the query failed ({reason}) and may have run") + pg.READY)
 
     def cancelled(self) -> None:
         """The client stopped waiting; the module hears that it left."""
         if self.query is not None:
             self.inbox.put(Gone(self.query))
-            self._answer(self.query, pg.error(pg.CANCELED, "canceling statement due to user request"))
+            self._answer(
+                self.query, pg.error(pg.CANCELED, "canceling statement due to user request") + pg.READY
+            )
 
 
 class Sessions:
@@ -225,6 +223,16 @@
         listener.setblocking(False)
         self.listener = listener
 
+    async def watch(self) -> None:
+        """End sessions whose client reads nothing of its answer."""
+        while True:
+            await asyncio.sleep(self.limits.client_write_s / 10)
+            before = self.loop.time() - self.limits.client_write_s
+            for session, task in list(self.sessions.values()):
+                if session.answering and session.answered_at < before:
+                    self.counters.add("sessions", "stalled")
+                    task.cancel()
+
     async def accept(self) -> None:
         """Take in connections while descriptors allow; the others wait in the kernel's line."""
         assert self.listener is not None
@@ -267,10 +275,6 @@
         if found is not None and found[0].secret == secret:
             found[0].cancelled()
 
-    def drop(self, session: Session) -> None:
-        if found := self.sessions.get(session.process):
-            found[1].cancel()
-
     def forget(self, session: Session) -> None:
         self.sessions.pop(session.process, None)
         self.room.set()
--- a/whintrail/gateway/statement.py
+++ b/whintrail/gateway/statement.py
@@ -66,90 +66,79 @@
     )
 
 
-# --- The group of tables: a small lexer.
+# --- The group of tables: a small lexer. Its tokens are names and the signs that matter between them.
 
 _token = re.compile(
     r"""
-    (?P<space>\s+|--[^\n]*)
-  | (?P<text>[eE]'(?:[^'\\]|\\.|'')*' | (?:[bBxXnN]|[uU]&)?'(?:[^']|'')*')
-  | (?P<dollar>\$(?P<tag>[A-Za-z_\x80-\U0010ffff][\w]*)?\$.*?\$(?(tag)(?P=tag))\$)
-  | (?P<quoted>(?:[uU]&)?"(?:[^"]|"")*")
-  | (?P<name>[A-Za-z_\x80-\U0010ffff][\w$]*)
-  | (?P<number>[0-9][\w.]*)
-  | (?P<sign>.)
+    --[^\n]*
+  | [eE]'(?:[^'\\]|\\.|'')*'
+  | '(?:[^']|'')*'
+  | \$(?P<tag>[A-Za-z_\x80-\U0010ffff][\w]*)?\$.*?\$(?(tag)(?P=tag))\$
+  | "(?P<quoted>(?:[^"]|"")*)"
+  | (?P<word>[A-Za-z_\x80-\U0010ffff][\w$]*)
+  | [0-9][\w.]*
+  | (?P<sign>[(),.;])
     """,
     re.VERBOSE | re.DOTALL,
 )
-_block = re.compile(r"/\*|\*/")
-_group = re.compile(r"[A-Za-z]\w*_([0-9]{1,9})\Z")
-_LIST_ENDS = frozenset(
-    "where group order having limit offset fetch window union intersect except for returning on using set "
-    "values select with as natural".split()  # noqa: SIM905
-)
-_TABLE_AHEAD = frozenset(["from", "join", "into", "update", "table"])
-
-
-def _skip_block(text: str, at: int) -> int:
-    """The end of the comment that begins here; they nest."""
-    depth = 0
-    for mark in _block.finditer(text, at):
-        depth += 1 if mark.group() == "/*" else -1
-        if depth == 0:
-            return mark.end()
-    return len(text)
-
-
-def _tokens(text: str) -> list[tuple[str, bool]]:
-    """Words and signs in order, with whether each is a name; texts and comments are left out."""
-    found: list[tuple[str, bool]] = []
+_block = re.compile(r"--[^\n]*|'(?:[^']|'')*'|\"(?:[^\"]|\"\")*\"|/\*|\*/", re.DOTALL)
+_group = re.compile(r"[^\W\d]\w*?_([0-9]{1,9})\Z")
+_ENDS = ["where", "group", "order", "having", "limit", "offset", "fetch", "window", "union", "intersect"]
+_LIST_ENDS = frozenset([*_ENDS, "except", "for", "returning", "on", "set", "values", "select", "with"])
+_TABLE_AHEAD = frozenset(["from", "join", "into", "update", "table", "using"])
+_FROM_INSIDE = frozenset(["extract", "substring", "trim", "overlay", "position"])  # their FROM names no table
+_TABLE_WORDS = frozenset(["only", "lateral", "if", "exists"])  # may stand between
+
+
+def _without_blocks(text: str) -> str:
+    """The text with a space for each comment in slashes and stars; they nest."""
+    kept: list[str] = []
+    depth = start = 0
     at = 0
-    while at < len(text):
-        if text.startswith("/*", at):
-            at = _skip_block(text, at)
-            continue
-        token = _token.match(text, at)
-        if token is None:  # cannot be: a sign is any character
-            break
-        at = token.end()
-        kind = token.lastgroup if token.lastgroup != "tag" else "dollar"
-        if kind == "name":
-            found.append((token.group().lower(), True))
-        elif kind == "quoted":
-            found.append((token.group().split('"', 1)[1][:-1].replace('""', '"'), True))
-        elif kind in ("sign", "number"):
-            found.append((token.group(), False))
-        elif kind in ("text", "dollar"):
-            found.append(("''", False))
-    return found
+    while mark := _block.search(text, at):
+        at = mark.end()
+        if mark.group() == "/*":
+            if depth == 0:
+                kept += (text[start : mark.start()], " ")
+            depth += 1
+        elif mark.group() == "*/" and depth:
+            depth -= 1
+            start = at
+        elif depth:  # inside a comment quotes mean nothing
+            at = mark.start() + 1
+    if depth == 0:
+        kept.append(text[start:])
+    return "".join(kept)
 
 
 def table_group(statement: bytes) -> int | None:
     """The number in the name of the schema that is read or written; None where there is none."""
-    tokens = _tokens(statement.decode("utf-8", "replace"))
-    tokens.append(("", False))
-    lists: list[bool] = [False]  # per open bracket: a list of tables goes on
-    expect = False
-    index = 0
-    while index < len(tokens) - 1:
-        word, is_name = tokens[index]
-        if word == "(" and not is_name:
-            lists.append(expect)
-        elif word == ")" and not is_name:
-            if len(lists) > 1:
-                lists.pop()
+    text = statement.decode("utf-8", "replace")
+    if "/*" in text:
+        text = _without_blocks(text)
+    # Each token: a word in lower case, a quoted name, a sign, or nothing for texts and numbers.
+    tokens = [(m["word"] or "").lower() or m["sign"] or m["quoted"] or "" for m in _token.finditer(text)]
+    tokens += ["", ""]
+    brackets: list[tuple[bool, bool]] = []  # per open bracket: a list of tables goes on; FROM means nothing
+    in_list = expect = deaf = False
+    previous = ""
+    for index, token in enumerate(tokens):
+        if token == "(":
+            brackets.append((in_list, deaf))
+            deaf = previous in _FROM_INSIDE
+        elif token == ")":
+            in_list, deaf = brackets.pop() if brackets else (False, False)
             expect = False
-        elif word == "," and not is_name:
-            expect = lists[-1]
-        elif is_name and word in _TABLE_AHEAD and tokens[index + 1][0] != ".":
-            lists[-1] = expect = True
-        elif is_name and word in _LIST_ENDS:
-            lists[-1] = expect = False
-        elif expect and is_name and word not in ("only", "lateral"):
-            if tokens[index + 1] == (".", False):
-                schema = _group.match(word)
-                if schema and word != "staging":
-                    return int(schema.group(1))
-                index += 2
+        elif token == ",":
+            expect = in_list
+        elif token in _TABLE_AHEAD and not deaf and previous not in (".", "distinct"):
+            in_list = expect = True
+        elif token in _LIST_ENDS:
+            in_list = expect = False
+        elif expect and token and token not in _TABLE_WORDS:
             expect = False
-        index += 1
+            schema = _group.match(token) if tokens[index + 1] == "." else None
+            if schema:
+                return int(schema.group(1))
+        previous = token
     return None
