Hold no heavy query where clients' connections run out; count time from a query's arrival

Seen on fleet-1: a gateway's 341 client connections all occupied, 28% of requests never taken. By class the connection time of one gateway is 40 ms a lookup (39 ms of it work), 760 ms a report (713 work), 1,950 ms a load, of which 400 is its own: standing in line took a fifth of all. Engines are not pressed (latency 1.0 to 1.5 of best), so neither gate nor draw is at fault. The module now knows how many queries clients can have open and, above 0.7 of it, holds no heavy query and lets no load stand behind another of ours. Adapters that state no such number see no change.

The owner, slow writes and lag in the loop (none above 60 ms) were ruled out.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -50,6 +50,7 @@
         retry_after=True,
         max_retry_after_us=SECOND,
         max_attempts=4,
+        max_open=None,
         tick_us=5000,
         list_on_request=False,
         must_ask_us=None,
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -52,3 +52,16 @@
         given.wait(SECOND // 4)
         given.tell(api.AttemptNote(1, 0, "e1", api.Topic.PROGRESS, given.now / 10**12))  # the engine lives
     assert given.gateway.engines["e1"].errors.value == 0
+
+
+def test_where_clients_can_open_little_more_no_load_stands_in_line_and_none_is_held() -> None:
+    given = Driver(settings(LOAD, query_class(), kind_cores={"k8": 400.0}, max_open=10), engine("e1"))
+    for number in range(8):
+        given.ask(number)
+    for number in range(10, 14):
+        given.ask(number, "load", cost_us=0.2 * SECOND, tables=4)
+    taken = [number for number in range(10, 14) if sends(given.actions, number)]
+    assert taken == [10]
+    assert (
+        answers(given.actions, 11) == answers(given.actions, 12) == answers(given.actions, 13) == [api.Refuse]
+    )
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -22,25 +22,24 @@
 BUSY_UTILISATION, BUSY_HELD, BUSY_MEMORY = 0.95, 1.5, 0.7  # of the cores; a core; share of memory granted
 FULL_REST_US = 500_000  # an engine that refused for want of room is pressed and rests, longer each time
 BRIM = 1.4  # all our threads per core of our share; threads that read leave room, more feed a jam
-SHARE_GAIN = 0.08  # how fast this gateway's share of the work follows the reports
+SHARE_GAIN, WHOLE_STEP = 0.08, 0.05  # how fast our share follows reports, and the fleet's bounds latency
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
-WHOLE_STEP = 0.05  # the same for the fleet's, which few answers of a small gateway move
 LOAD_FLOOR, DRAW_POWER = 0.2, 3.0  # what an idle engine counts; how steep: higher chases stale reports
+CROWDED = 0.7  # of the queries that clients can have open: then no heavy one is held, no load stands in line
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
 # --- Health.
 DOWN_US, DOWN_MOST_US = 1_000_000, 8_000_000  # first and longest rest of an engine that failed us
 SILENT_US, PATIENCE, NOTES_MISSED = 1_000_000, 6.0, 2.2  # silence: least; times the expected; notes apart
+HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience where answers get lost
 LOSSY, LOSS_MEMORY = 0.02, 200  # where more than this share of answers, of so many, do not come: be hasty
-HASTY_US, HASTE = 200_000, 3.0  # the least time and the patience then
 ERRORS_MOST = 0.5  # an engine that fails more of its queries is left alone while others do not
 ERROR_GAIN, ERROR_FADE_US = 0.2, 8_000_000  # weight of one answer, and how fast what is known fades
 STRETCH_GAIN, STRETCH_FADE_US = 0.15, 5_000_000  # the same for an engine's latency against the best
 PROBES_PER_QUERY, PROBES_MOST = 0.35, 1.0  # usual and most probes a query, which is what they are priced by
 PROBE_US, PROBE_WANTED_US = 400_000, 2_000_000  # between an engine's reports: shortest pause, and wanted
-RUNAWAY = 2.0  # on course for so many times what is high for its class: a bad plan, no rough estimate
+RUNAWAY, MOST_SENDS = 2.0, 4  # on course for so many times what is high for its class; moved no more often
 HIGH_PART, HIGH_STEP, HIGH_FIRST = 0.8, 0.1, 5.0  # high: so many take less; how fast it follows; at first
-MOST_SENDS = 4  # nothing is moved more often: the trouble is then not in the plan or in one engine
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 SAFE_PART, SLOT = 0.75, 0.33  # of the stated multiple; of a window, where our part is less than one query
 SWEEP_US, WATCH_US = 100_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
@@ -85,6 +84,7 @@
         self.ready: list[Engine] = []  # engines that the list calls ready, kept in step with it
         self.phase = self.random.random()  # our turn among the gateways
         self.whole = Sent()  # what is kept of an engine, of all together
+        self.most, self.crowded = CROWDED * (settings.max_open or math.inf), False
         self.healthy, self.losses = False, Mean()  # some engine is well; share of answers that do not come
         self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
@@ -97,7 +97,7 @@
         return [api.SetTimer(SWEEP, self.now), *([api.WatchList(True)] * self.settings.list_on_request)]
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
-        self.now, self.actions = now, []
+        self.now, self.actions, self.crowded = now, [], len(self.queries) > self.most
         type(self).__dict__["_on"].dispatcher.dispatch(type(event))(self, event)
         return self.actions
 
@@ -116,8 +116,7 @@
         aim = self.now + cls.settings.aim_us + cls.settings.aim_stretch * span
         known = (event.cost_us, event.memory_mb, event.give_up_us)
         query = Query(event.query, cls, *known, threads, span, aim, min(aim, event.give_up_us))
-        query.heavy = self._label(query)
-        query.group = event.tables if cls.settings.is_load else None
+        query.heavy, query.group = self._label(query), event.tables if cls.settings.is_load else None
         self.queries[query.id] = query
         self.taken.append(self.now)
         if cls.settings.in_order and event.key is not None:
@@ -129,8 +128,8 @@
         """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES:
-            heavy = (query.cost_us or 0) > BAR * cls.cost.value
-            heavy = heavy or (query.memory_mb or 0) > BAR * cls.memory.value
+            costly = (query.cost_us or 0) > BAR * cls.cost.value
+            heavy = costly or (query.memory_mb or 0) > BAR * cls.memory.value
             heavy = heavy and query.span_us > self.mean_span_us
         cls.seen += 1
         cls.cost.add(query.cost_us, MEAN_MEMORY)
@@ -149,6 +148,9 @@
         if not self._turn(query):
             return False
         if (engine := self._choose(query, only)) is None:
+            if self.crowded and query.gated and not only:
+                self._end(query)  # held, it would keep others from reaching us at all
+                return True
             lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
             heappush(lane, (query.due, query.id, query))
             return False
@@ -182,9 +184,10 @@
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
-        gated = query.heavy or query.group is not None
-        if gated and self.now + self._expected_us(query, engine) > query.due:
+        if query.gated and self.now + self._expected_us(query, engine) > query.due:
             return False  # it could not finish in time there
+        if self.crowded and query.group is not None and engine.loads[query.group] > 1:
+            return False
         if not self._pressed(engine):
             return True
         threads, long = query.threads, query.span_us > self.mean_span_us
@@ -249,9 +252,8 @@
 
     def _expected_us(self, query: Query, engine: Engine | None = None) -> float:
         """As its class fares of late; on a given engine, as that stands against the others."""
-        span = query.span_us
-        if query.group is not None:  # loads of the same tables run one by one: behind ours, where it is least
-            span += min((e.loads[query.group] for e in ([engine] if engine else self.ready)), default=0.0)
+        lines = (e.loads[query.group] for e in ([engine] if engine else self.ready))
+        span = query.span_us + (min(lines, default=0.0) if query.group is not None else 0.0)  # behind ours
         return span * (query.cls.recent.value or 1.0) * (engine.stretch / self.stretch if engine else 1.0)
 
     # --- The gate that every send passes: the rules.
@@ -337,11 +339,10 @@
         engine.loads[query.group] += query.span_us
         query.out += 1
         self.out[query.id, attempt.number] = query, attempt
-        for sent in (engine, self.whole):
+        for sent, cores in ((engine, engine.cores), (self.whole, 1.0)):
             sent.threads += query.threads
             sent.heavy_threads += query.threads if query.heavy else 0
-        for sent, threads in ((engine, query.threads / engine.cores), (self.whole, query.threads)):
-            sent.since.value = sent.since.now(self.now, SINCE_US) + threads
+            sent.since.value = sent.since.now(self.now, SINCE_US) + query.threads / cores
         self._weigh(engine)
         if self.now < engine.cold_until:
             engine.cold_sent.append((self.now, query.cls.work_us))
@@ -536,8 +537,7 @@
         if (engine := self.engines.get(entry.engine)) is None:
             engine = self.engines[entry.engine] = Engine(address=entry.engine, busy_at=BUSY_HELD)
             engine.probe_at = self.now - int(self.random.random() * PROBE_WANTED_US)
-        engine.kind, engine.zone, engine.cell = entry.kind, entry.zone, entry.cell
-        engine.state = entry.state
+        engine.kind, engine.zone, engine.cell, engine.state = entry.kind, entry.zone, entry.cell, entry.state
         engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
         if entry.started_us is not None:
             cold_until = entry.started_us + self.settings.cold_us
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 
 from whintrail.gateway.buffer import Buffer
 
+LAST_DATA = struct.Struct("=52xI")  # in Linux's tcp_info: milliseconds since data last came in
+
 
 def tcp_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -86,6 +89,14 @@
         self.buffer.filled(count)
         return count > 0
 
+    def waited_us(self) -> int:
+        """How long ago the last bytes reached this machine, as far as its kernel tells."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA.size)
+        except OSError:
+            return 0
+        return int(LAST_DATA.unpack(info)[0]) * 1000 if len(info) == LAST_DATA.size else 0
+
     def finish(self) -> None:
         """No more is written: the other side sees the end after the last byte."""
         with suppress(OSError):
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    # Descriptors: a third and more for clients, another for engines; the rest is a reserve.
+    # Descriptors: clients hold a third at most, and some are just closing; engines another; then a reserve.
     client_connections: int
     engine_connections: int
     accept_backlog: int
@@ -26,7 +26,7 @@
     link_out_bytes: int
     bulletin_line_bytes: int
     # Counts.
-    open_queries: int
+    open_queries: int  # a client has one open on a connection
     streams: int
     # Times in seconds.
     connect_s: float
@@ -65,7 +65,7 @@
             result_pages=64,
             link_out_bytes=MEGABYTE,
             bulletin_line_bytes=MEGABYTE,
-            open_queries=int(get(allowed, "MaxOpen", 20_000)),
+            open_queries=min(int(get(allowed, "MaxOpen", 20_000)), sockets // 3),
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
             connect_s=get(allowed, "ConnectTimeoutUs", 250_000) / 1e6,
             idle_link_s=get(allowed, "KeepaliveUs", 30_000_000) / 1e6,
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Mapping
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -46,7 +47,8 @@
     def __init__(self, config: Mapping[str, Any]) -> None:
         self.log, self.counters = Log(str(get(config, "name", "whintrail"))), Counters()
         try:
-            settings, self.limits = read_settings(config["settings"]), Limits.read(config)
+            self.limits = Limits.read(config)
+            settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
             self.inbox = Inbox(Clock())
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -155,7 +155,8 @@
             self.counters.add("queries", "unreadable")
             self.connection.write(pg.error(pg.BAD_VALUE, str(error)) + pg.READY)
             return
-        self.query = Query(self, statement, self.inbox.clock.now_us())
+        taken_us = self.inbox.clock.now_us() - self.connection.waited_us()
+        self.query = Query(self, statement, taken_us)
         self.inbox.put(Asked(self.query))
 
     # --- Out.
--- a/whintrail/interface.py
+++ b/whintrail/interface.py
@@ -117,6 +117,7 @@
     retry_after: bool
     max_retry_after_us: int
     max_attempts: int | None  # None: no limit stated
+    max_open: int | None  # queries that clients can have open here at once; None: no limit stated
     tick_us: int
     list_on_request: bool
     must_ask_us: int | None
--- a/whintrail/settings.py
+++ b/whintrail/settings.py
@@ -74,6 +74,7 @@
         retry_after=get(limits, "RetryAfter", False),
         max_retry_after_us=get(limits, "MaxRetryAfterUs", 0),
         max_attempts=limits.get("MaxAttempts"),
+        max_open=limits.get("MaxOpen"),
         tick_us=get(info, "TickUs", 0),
         list_on_request=get(info, "MembershipMode", "pushed") == "on_request",
         must_ask_us=rules.get("MustAskInUs"),
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -134,6 +134,10 @@
     group: int | None = None  # of tables, where it holds them while it runs
     terms: tuple[float, int] = (0, 1)  # the engine's choice of memory, the usual priority
 
+    @property
+    def gated(self) -> bool:
+        return self.heavy or self.group is not None
+
 
 class Line(deque[Query]):
     """Queries of one key in the order taken, and how long the key must rest."""
