Test the program over sockets with stand-ins, and the codecs a byte at a time

Found by the tests: a buffer could not grow while a view of it was held; an unterminated string was read as names; a start-up shorter than its own head got no error.

--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,448 @@
+"""Stand-ins for what the gateway speaks to: engines, the bulletin and clients, all on loopback.
+
+Blocking sockets and threads, every wait bounded: a test that goes wrong ends by itself.
+"""
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+import tomllib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 15.0  # longer than anything here takes on a busy machine
+CLASSES: list[dict[str, Any]] = [
+    {"Name": "lookup", "Effect": "repeatable", "Group": "all"},
+    {"Name": "report", "Effect": "repeatable", "Group": "all"},
+    {"Name": "once", "Effect": "once", "Group": "all"},
+]
+
+
+def settings(**limits: Any) -> dict[str, Any]:
+    times = {"AimUs": 1_000_000, "DeadlineUs": 8_000_000, "WindowUs": 5_000_000, "Worth": 1.0}
+    return {
+        "Classes": [{**item, **times} for item in CLASSES],
+        "FamilyInfo": {
+            "Dop": [1, 2, 2],
+            "CpuOfKind": [16],
+            "SizeMb": [16384.0],
+            "MemoryHeeded": True,
+            "Priorities": True,
+            "TellsCost": True,
+            "ProgressPaceUs": 200_000,
+        },
+        "FleetSize": 1,
+        "Limits": {
+            "ConnectTimeoutUs": 250_000,
+            "KeepaliveUs": 30_000_000,
+            "MaxAttempts": 3,
+            "MaxOpen": 1000,
+            "MaxRetryAfterUs": 2_000_000,
+            "MaxStreams": 100,
+            "MayCancel": True,
+            "Probing": True,
+            "RetryAfter": True,
+            "SecondCopies": True,
+            **limits,
+        },
+        "Reporting": {"Fields": ["busy_reqs", "pending", "x0"], "How": "probe"},
+        "Rules": {"AnswerSlackUs": 5000, "DrainGraceUs": 250_000},
+        "Shapes": ["std-16"],
+        "TickUs": 1000,
+        "Zone": "z1",
+        "Zones": ["z1"],
+    }
+
+
+def wait_for(what: Callable[[], Any], seconds: float = PATIENCE_S) -> None:
+    end = time.monotonic() + seconds
+    while not what():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.01)
+
+
+def listener(port: int = 0) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.listen(64)
+    return sock
+
+
+def reset(sock: socket.socket) -> None:
+    """Close so that the other side sees a reset."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Server:
+    """Accepts on loopback, a thread for each connection."""
+
+    def __init__(self, port: int = 0) -> None:
+        self.sock = listener(port)
+        self.port: int = self.sock.getsockname()[1]
+        self.where = f"127.0.0.1:{self.port}"
+        self.open: list[socket.socket] = []
+        self.lock = threading.Lock()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            sock.settimeout(60)
+            self.open.append(sock)
+            threading.Thread(target=self._guard, args=(sock,), daemon=True).start()
+
+    def _guard(self, sock: socket.socket) -> None:
+        with suppress(OSError, ValueError):
+            self.serve(sock)
+
+    def serve(self, sock: socket.socket) -> None:
+        raise NotImplementedError
+
+    def cut(self) -> None:
+        """Break every open connection."""
+        for sock in self.open:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            reset(sock)
+        self.open.clear()
+
+    def close(self) -> None:
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        self.cut()
+
+
+@dataclass
+class Did:
+    """A `do` as an engine got it."""
+
+    id: str
+    fields: dict[str, str]
+    statement: bytes
+    at: float = field(default_factory=time.monotonic)
+
+
+class Engine(Server):
+    """Answers as told by `mode`; keeps what it was asked."""
+
+    def __init__(self, name: str = "s-1", port: int = 0, mode: str = "serve") -> None:
+        self.name, self.mode = name, mode
+        self.pages: list[bytes] = [b"a\tb\tc\n"]
+        self.delay = 0.0
+        self.done: list[Did] = []
+        self.words: list[list[str]] = []
+        super().__init__(port)
+
+    def entry(self, state: str = "active", **changes: Any) -> dict[str, Any]:
+        return {
+            "instanceId": self.name,
+            "hostPort": self.where,
+            "zone": "z1",
+            "machineType": "std-16",
+            "cell": 0,
+            "lifecycle": state,
+            "weight": 4,
+            "startedAtMs": 0,
+            **changes,
+        }
+
+    def serve(self, sock: socket.socket) -> None:
+        file = sock.makefile("rb")
+        while line := file.readline():
+            words = line.decode().split()
+            self.words.append(words)
+            match words:
+                case ["do", id, fields, length]:
+                    body = file.read(int(length) + 2)
+                    pairs = dict(item.split("=", 1) for item in fields.split(",")) if fields != "-" else {}
+                    self.done.append(Did(id, pairs, body[:-2]))
+                    threading.Timer(self.delay, self._guarded_do, (sock, id)).start()
+                case ["page", id, number]:
+                    self._page(sock, id, int(number))
+                case ["top", tag]:
+                    self.say(sock, tag, "green", "stats=busy_reqs:1;pending:0;x0:0.1")
+                case ["ping", tag]:
+                    self.say(sock, tag, "green")
+
+    def say(self, sock: socket.socket, id: str, word: str, fields: str = "-", body: bytes = b"") -> None:
+        with self.lock:
+            sock.sendall(f"{id} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n")
+
+    def _guarded_do(self, sock: socket.socket, id: str) -> None:
+        with suppress(OSError):
+            self._do(sock, id)
+
+    def _do(self, sock: socket.socket, id: str) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while self.mode == "wait" and time.monotonic() < end:
+            time.sleep(0.005)
+        match self.mode:
+            case "serve" | "close between pages" | "lose pages" | "page twice":
+                fields = f"total={len(self.pages)},elapsed=12.5,rss=64"
+                self.say(sock, id, "served", fields, self.pages[0])
+            case "overload" | "crashed" | "nobody" as word:
+                self.say(sock, id, word)
+            case "note":
+                self.say(sock, id, "update", "how=done,datum=0.5")
+            case "reset":
+                reset(sock)
+                sock.shutdown(socket.SHUT_RDWR)
+            case "garbage":
+                with self.lock:
+                    sock.sendall(b"what is this\r\n")
+            case "endless line":
+                with self.lock:
+                    sock.sendall(b"x" * 100_000)
+            case "over-long":
+                with self.lock:
+                    sock.sendall(f"{id} served total=1 999999999\r\n".encode())
+            case "unreadable":
+                self.say(sock, id, "served", "total=1", b"only\ttwo\n")
+            case "strangers":
+                self.say(sock, "00000000000000ff", "served", "total=1", b"x\ty\tz\n")
+                self.say(sock, id, "served", "total=1", self.pages[0])
+            case "silent":
+                pass
+
+    def _page(self, sock: socket.socket, id: str, number: int) -> None:
+        match self.mode:
+            case "close between pages":
+                reset(sock)
+                sock.shutdown(socket.SHUT_RDWR)
+            case "lose pages":
+                self.say(sock, id, "crashed")
+            case "page twice":
+                self.say(sock, id, "rows", "index=1", self.pages[1])
+                self.say(sock, id, "rows", "index=1", self.pages[1])
+            case _:
+                self.say(sock, id, "rows", f"index={number}", self.pages[number])
+
+
+class Bulletin(Server):
+    def __init__(self) -> None:
+        self.events: list[dict[str, Any]] = []
+        self.asked: list[int] = []
+        super().__init__()
+
+    def publish(self, *entries: dict[str, Any], reset: bool = False) -> None:
+        number = len(self.events) + 1
+        roster = {"generation": number, "reset": reset, "instances": list(entries)}
+        self.events.append({"no": number, "roster": roster})
+
+    def serve(self, sock: socket.socket) -> None:
+        line = sock.makefile("rb").readline()
+        last = int(line.split()[1])
+        self.asked.append(last)
+        beat = 0.0
+        while True:
+            for event in self.events[last:]:
+                sock.sendall(json.dumps(event).encode() + b"\n")
+                last = event["no"]
+            if time.monotonic() > beat:
+                sock.sendall(b"%d\n" % last)
+                beat = time.monotonic() + 0.3
+            time.sleep(0.02)
+
+
+@dataclass
+class Answer:
+    rows: list[tuple[str, ...]] = field(default_factory=list)
+    sqlstate: str | None = None
+    text: str = ""
+    tag: str = ""
+    empty: bool = False
+    status: str = ""  # of the transaction; empty: the connection ended first
+
+
+class Client:
+    """A client in the PostgreSQL protocol, byte by byte if asked."""
+
+    def __init__(self, port: int, start: bool = True) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self.file = self.sock.makefile("rb")
+        self.parameters: dict[str, str] = {}
+        self.key = (0, 0)
+        if start:
+            self.sock.sendall(self.startup())
+            self.greeted()
+
+    @staticmethod
+    def startup(version: int = 3 << 16) -> bytes:
+        body = struct.pack("!I", version) + b"user\0app\0database\0dw\0\0"
+        return struct.pack("!I", len(body) + 4) + body
+
+    @staticmethod
+    def message(kind: bytes, body: bytes) -> bytes:
+        return kind + struct.pack("!I", len(body) + 4) + body
+
+    @classmethod
+    def simple(cls, text: str) -> bytes:
+        return cls.message(b"Q", text.encode() + b"\0")
+
+    def read(self) -> tuple[bytes, bytes]:
+        head = self.file.read(5)
+        if len(head) < 5:
+            return b"", b""
+        kind, length = struct.unpack("!cI", head)
+        return kind, self.file.read(length - 4)
+
+    def greeted(self) -> None:
+        while True:
+            kind, body = self.read()
+            if kind == b"S":
+                name, value = body.split(b"\0")[:2]
+                self.parameters[name.decode()] = value.decode()
+            elif kind == b"K":
+                self.key = struct.unpack("!II", body)
+            elif kind == b"Z":
+                return
+            else:
+                assert kind in (b"R", b"v"), kind
+
+    def answer(self) -> Answer:
+        found = Answer()
+        while True:
+            kind, body = self.read()
+            match kind:
+                case b"D":
+                    found.rows.append(self._row(body))
+                case b"C":
+                    found.tag = body[:-1].decode()
+                case b"I":
+                    found.empty = True
+                case b"E":
+                    fields = {part[:1]: part[1:].decode() for part in body.split(b"\0") if part}
+                    found.sqlstate, found.text = fields[b"C"], fields[b"M"]
+                case b"Z":
+                    found.status = body.decode()
+                    return found
+                case b"":
+                    return found
+
+    @staticmethod
+    def _row(body: bytes) -> tuple[str, ...]:
+        (count,) = struct.unpack_from("!H", body)
+        values, at = [], 2
+        for _ in range(count):
+            (length,) = struct.unpack_from("!I", body, at)
+            values.append(body[at + 4 : at + 4 + length].decode())
+            at += 4 + length
+        return tuple(values)
+
+    def send(self, text: str) -> None:
+        self.sock.sendall(self.simple(text))
+
+    def ask(self, text: str) -> Answer:
+        self.send(text)
+        return self.answer()
+
+    def close(self) -> None:
+        self.file.close()
+        self.sock.close()
+
+
+_calls = iter(range(1, 1 << 30))
+
+
+def query(
+    op: str = "lookup", ttl: int | None = 6000, sql: str = "SELECT 1 FROM sales_3.t", **more: Any
+) -> str:
+    fields = {"op": op, "call": f"{next(_calls):016x}", "ttl": ttl, **more}
+    return "/* " + ",".join(f"{k}={v}" for k, v in fields.items() if v is not None) + " */ " + sql
+
+
+class Gateway:
+    """The program, started as deploy/balancer.toml says."""
+
+    def __init__(self, config: dict[str, Any] | None, folder: Path, **environment: str) -> None:
+        with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
+            run = tomllib.load(file)["run"]
+        self.log = folder / "log"
+        path = folder / "config.json"
+        if config is not None:
+            path.write_text(json.dumps(config))
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", run],
+                cwd=ROOT,
+                env={**os.environ, "RELAY_CONFIG": str(path), **environment},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    def text(self) -> str:
+        return self.log.read_text()
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(PATIENCE_S)
+
+
+class Deployment:
+    """A gateway with its engines and its bulletin."""
+
+    def __init__(self, folder: Path, engines: list[Engine], sockets: int, **limits: Any) -> None:
+        self.engines, self.bulletin = engines, Bulletin()
+        self.bulletin.publish(*(engine.entry() for engine in engines), reset=True)
+        with listener() as free:
+            self.port: int = free.getsockname()[1]
+        self.config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "bulletin": self.bulletin.where,
+            "known": {"no": 1, "items": list(self.bulletin.events)},
+            "settings": settings(**limits),
+        }
+        self.gateway = Gateway(self.config, folder)
+        wait_for(self.ready)
+
+    def ready(self) -> bool:
+        assert self.gateway.process.poll() is None, self.gateway.text()
+        try:
+            client = Client(self.port)
+        except OSError:
+            return False
+        answer = client.ask("")
+        client.close()
+        return answer.empty
+
+    def client(self) -> Client:
+        return Client(self.port)
+
+    def end(self) -> None:
+        self.gateway.end()
+        for server in (self.bulletin, *self.engines):
+            server.close()
+
+
+@contextmanager
+def deployment(*engines: Engine, sockets: int = 1024, **limits: Any) -> Iterator[Deployment]:
+    with tempfile.TemporaryDirectory() as folder:
+        given = Deployment(Path(folder), list(engines) or [Engine()], sockets, **limits)
+        try:
+            yield given
+        finally:
+            given.end()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,400 @@
+"""The program as a whole: started as it is deployed, spoken to over sockets."""
+
+import re
+import signal
+import socket
+import struct
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from .standins import (
+    PATIENCE_S,
+    Client,
+    Engine,
+    Gateway,
+    deployment,
+    listener,
+    query,
+    settings,
+    wait_for,
+)
+
+HARMLESS = re.compile(r"53...|57P03")
+
+
+def engine(name: str = "s-1", mode: str = "serve", port: int = 0, delay: float = 0.0) -> Engine:
+    given = Engine(name, port, mode)
+    given.delay = delay
+    return given
+
+
+def many_pages() -> list[bytes]:
+    return [b"".join(b"day %d\t%d\tnote %d\n" % (p, r, p * r) for r in range(200)) for p in range(5)]
+
+
+# --- Served.
+
+
+def test_a_result_of_several_pages_arrives_whole_and_in_order() -> None:
+    with deployment() as given:
+        given.engines[0].pages = many_pages()
+        answer = given.client().ask(query(work=12.5, memory=64))
+        expected = [tuple(row.split("\t")) for page in many_pages() for row in page.decode().splitlines()]
+        assert answer.rows == expected
+        assert (answer.tag, answer.sqlstate, answer.status) == ("SELECT 1000", None, "I")
+
+
+def test_id_class_and_statement_reach_the_engine_unchanged_without_the_comment() -> None:
+    sql = "SELECT a,  b -- /* op=x */\n FROM sales_17.t WHERE c = 'it''s; /* ö */'"
+    with deployment() as given:
+        assert given.client().ask(f"/* ttl=4000,x=1,call=9b1f03aa5c7e2d41,op=report */ {sql}").rows
+        (did,) = given.engines[0].done
+        assert (did.id, did.fields["class"], did.statement) == ("9b1f03aa5c7e2d41", "report", sql.encode())
+        assert 3000 < int(did.fields["wait"]) <= 4000
+
+
+def test_one_query_after_another_and_the_first_right_behind_the_start() -> None:
+    with deployment() as given:
+        client = Client(given.port, start=False)
+        client.sock.sendall(client.startup() + client.simple(query()) + client.simple(query()))
+        client.greeted()
+        assert [client.answer().tag for _ in range(2)] == ["SELECT 1", "SELECT 1"]
+        assert client.ask(query()).tag == "SELECT 1"
+
+
+def test_a_query_that_comes_a_byte_at_a_time() -> None:
+    with deployment() as given:
+        client = Client(given.port, start=False)
+        for byte in client.startup() + client.simple(query()):
+            client.sock.sendall(bytes([byte]))
+            time.sleep(0.0005)
+        client.greeted()
+        assert client.answer().rows
+
+
+def test_many_clients_at_once_share_one_link() -> None:
+    with deployment(engine(delay=0.1)) as given:
+        clients = [given.client() for _ in range(40)]
+        for client in clients:
+            client.send(query())
+        assert all(client.answer().rows for client in clients)
+        assert len(given.engines[0].done) == 40
+        assert len(given.engines[0].open) <= 2
+
+
+# --- Refused and failed.
+
+
+def test_a_refusal_is_of_class_53_and_says_when_to_come_back() -> None:
+    with deployment(engine(mode="overload")) as given:
+        answer = given.client().ask(query(ttl=700))
+        assert answer.sqlstate and HARMLESS.match(answer.sqlstate)
+        assert re.search(r"pushback=2000\b", answer.text)
+        assert answer.status == "I"
+
+
+def test_what_may_have_run_once_fails_with_no_harmless_code() -> None:
+    with deployment(engine(mode="crashed")) as given:
+        answer = given.client().ask(query("once"))
+        assert answer.sqlstate and not HARMLESS.match(answer.sqlstate)
+        assert len(given.engines[0].done) == 1
+
+
+@pytest.mark.parametrize("mode", ["reset", "close between pages", "lose pages", "unreadable", "page twice"])
+@pytest.mark.parametrize("op", ["lookup", "once"])
+def test_an_attempt_that_breaks_is_tried_elsewhere_only_where_that_does_no_harm(mode: str, op: str) -> None:
+    bad, good = engine("s-1", mode), engine("s-2", "wait")
+    bad.pages = good.pages = many_pages()
+    with deployment(bad, good) as given:
+        for _ in range(30):  # until one is drawn for the engine that breaks
+            client = given.client()
+            client.send(query(op, ttl=3000))
+            wait_for(lambda: bad.done or good.done)
+            if bad.done:
+                break
+            good.done.clear()
+            client.close()
+        assert bad.done
+        good.mode = "serve"
+        answer = client.answer()
+        if op == "once":
+            assert answer.sqlstate and not HARMLESS.match(answer.sqlstate)
+            assert not good.done
+        else:
+            assert len(answer.rows) == 1000
+
+
+@pytest.mark.parametrize("mode", ["garbage", "endless line", "over-long"])
+def test_an_engine_whose_framing_breaks_loses_its_link_and_no_client_sees_it(mode: str) -> None:
+    with deployment(engine("s-1", mode)) as given:
+        answer = given.client().ask(query("once", ttl=3000))
+        assert answer.sqlstate and not HARMLESS.match(answer.sqlstate) and not answer.rows
+        given.engines[0].mode = "serve"
+        wait_for(lambda: given.client().ask(query()).rows)
+
+
+def test_answers_that_nobody_awaits_are_dropped() -> None:
+    with deployment(engine(mode="strangers")) as given:
+        assert given.client().ask(query()).rows == [("a", "b", "c")]
+
+
+def test_a_silent_engine_costs_no_more_than_the_clients_time() -> None:
+    with deployment(engine(mode="silent")) as given:
+        start = time.monotonic()
+        answer = given.client().ask(query(ttl=800))
+        assert answer.sqlstate and 0.5 < time.monotonic() - start < 3.0
+        wait_for(lambda: any(words[0] == "undo" for words in given.engines[0].words))
+
+
+def test_an_engine_that_refuses_connects_is_left_for_another() -> None:
+    dead, good = engine("s-1"), engine("s-2")
+    with deployment(dead, good) as given:
+        dead.close()
+        client = given.client()
+        assert all(client.ask(query()).rows for _ in range(20))
+
+
+# --- Clients that leave.
+
+
+def test_a_cancel_request_ends_the_query_and_its_attempt() -> None:
+    with deployment(engine(mode="silent")) as given:
+        client = given.client()
+        client.send(query("report"))
+        wait_for(lambda: given.engines[0].done)
+        other = Client(given.port, start=False)
+        other.sock.sendall(struct.pack("!IIII", 16, 80877102, client.key[0], client.key[1] ^ 1))
+        assert other.sock.recv(1) == b""
+        other = Client(given.port, start=False)
+        other.sock.sendall(struct.pack("!IIII", 16, 80877102, *client.key))
+        assert client.answer().sqlstate == "57014"
+        wait_for(lambda: ["undo", given.engines[0].done[0].id] in given.engines[0].words)
+
+
+def test_a_client_that_goes_frees_its_attempt_and_harms_no_other() -> None:
+    with deployment(engine(delay=0.3)) as given:
+        given.engines[0].pages = many_pages()
+        leaver, stayer = given.client(), given.client()
+        leaver.send(query())
+        stayer.send(query())
+        wait_for(lambda: len(given.engines[0].done) == 2)
+        leaver.close()
+        assert len(stayer.answer().rows) == 1000
+        wait_for(lambda: any(words[0] == "undo" for words in given.engines[0].words))
+
+
+def test_a_slow_reader_holds_up_nobody() -> None:
+    with deployment() as given:
+        given.engines[0].pages = many_pages()
+        slow = Client(given.port, start=False)
+        slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        slow.sock.sendall(slow.startup() + b"".join(slow.simple(query()) for _ in range(12)))
+        fast = given.client()
+        start = time.monotonic()
+        assert all(fast.ask(query()).rows for _ in range(20))
+        assert time.monotonic() - start < PATIENCE_S / 2
+        slow.greeted()
+        assert all(len(slow.answer().rows) == 1000 for _ in range(12))
+
+
+# --- Bad input from clients.
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "SELECT 1 FROM sales_3.t",
+        "/* op=lookup */ SELECT 1",
+        "/* call=9b1f03aa5c7e2d41 */ SELECT 1",
+        "/* op=lookup,call=9b1f03aa5c7e2d41,ttl=-5 */ SELECT 1",
+        "/* op=lookup,call=9b1f03aa5c7e2d41,ttl=5,work=many */ SELECT 1",
+        "/* op=nobody,call=9b1f03aa5c7e2d41,ttl=5000 */ SELECT 1",
+        "/* op=lookup,call=9b1f03aa5c7e2d41,ttl=5000",
+    ],
+)
+def test_a_query_that_cant_be_read_fails_and_the_session_goes_on(text: str) -> None:
+    with deployment() as given:
+        client = given.client()
+        answer = client.ask(text)
+        assert answer.sqlstate and not HARMLESS.match(answer.sqlstate) and answer.status == "I"
+        assert client.ask(query()).rows
+        assert len(given.engines[0].done) == 1
+
+
+def test_absent_and_zero_differ() -> None:
+    with deployment() as given:
+        client = given.client()
+        answer = client.ask(query(ttl=0))
+        assert answer.sqlstate and HARMLESS.match(answer.sqlstate)
+        assert client.ask(query(ttl=None)).rows
+
+
+def test_encryption_is_declined_and_other_versions_are_told_so() -> None:
+    with deployment() as given:
+        client = Client(given.port, start=False)
+        for code in (80877103, 80877104):
+            client.sock.sendall(struct.pack("!II", 8, code))
+            assert client.file.read(1) == b"N"
+        client.sock.sendall(client.startup())
+        client.greeted()
+        assert client.ask(query()).rows
+        newer = Client(given.port, start=False)
+        newer.sock.sendall(newer.startup((3 << 16) + 2))
+        newer.greeted()
+        old = Client(given.port, start=False)
+        old.sock.sendall(old.startup(2 << 16))
+        assert old.answer().sqlstate == "0A000"
+
+
+def test_extended_protocol_messages_get_one_error_until_sync() -> None:
+    with deployment() as given:
+        client = given.client()
+        parse = client.message(b"P", b"\0SELECT 1\0\0\0")
+        bind = client.message(b"B", b"\0\0\0\0\0\0\0\0")
+        client.sock.sendall(parse + bind + client.message(b"S", b""))
+        assert client.answer().sqlstate == "0A000"
+        assert client.ask(query()).rows
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack("!I", 3),
+        struct.pack("!II", 1 << 30, 3 << 16),
+        Client.startup() + b"Q" + struct.pack("!I", 2),
+        Client.startup() + b"Q" + struct.pack("!I", 1 << 30),
+        Client.startup() + b"\xff" + struct.pack("!I", 4),
+    ],
+)
+def test_what_is_no_message_gets_an_error_and_the_end(data: bytes) -> None:
+    with deployment() as given:
+        client = Client(given.port, start=False)
+        client.sock.sendall(data)
+        client.sock.shutdown(socket.SHUT_WR)
+        assert b"FATAL" in client.file.read()
+        assert given.client().ask(query()).rows
+
+
+# --- The bulletin.
+
+
+def test_a_draining_engine_gets_nothing_new() -> None:
+    first, second = engine("s-1"), engine("s-2")
+    with deployment(first, second) as given:
+        given.bulletin.publish(first.entry("leaving"))
+        time.sleep(0.5)
+        first.done.clear()
+        client = given.client()
+        assert all(client.ask(query()).rows for _ in range(30))
+        assert not first.done
+
+
+def test_an_address_may_be_used_again_by_another_engine() -> None:
+    old = engine("s-1")
+    with deployment(old) as given:
+        assert given.client().ask(query()).rows
+        old.close()
+        new = engine("s-2", port=old.port)
+        given.engines.append(new)
+        given.bulletin.publish(old.entry("left"), new.entry(startedAtMs=int(time.time() * 1000) - 60_000))
+        wait_for(lambda: given.client().ask(query(ttl=1000)).rows)
+        assert new.done
+
+
+def test_the_bulletin_is_resumed_where_it_was_cut() -> None:
+    first, second = engine("s-1"), engine("s-2")
+    with deployment(first) as given:
+        given.engines.append(second)
+        wait_for(lambda: given.bulletin.asked)
+        given.bulletin.publish(second.entry())
+        wait_for(lambda: [given.client().ask(query()) for _ in range(5)] and second.done)
+        given.bulletin.cut()
+        wait_for(lambda: given.bulletin.asked[-1] == 2)
+
+
+def test_lines_that_are_no_events_change_nothing() -> None:
+    with deployment() as given:
+        wait_for(lambda: given.bulletin.open)
+        for line in (
+            b"{",
+            b'"x"',
+            b'{"no":2}',
+            b'{"no":2,"roster":{"instances":[{"instanceId":"x"}]}}',
+            b"1",
+        ):
+            given.bulletin.open[0].sendall(line + b"\n")
+        time.sleep(0.3)
+        assert given.client().ask(query()).rows
+
+
+# --- Start and end.
+
+
+def test_sigterm_finishes_what_is_open_and_takes_in_for_a_while() -> None:
+    with deployment(engine(delay=0.6)) as given:
+        early = given.client()
+        early.send(query())
+        wait_for(lambda: given.engines[0].done)
+        given.gateway.signal(signal.SIGTERM)
+        time.sleep(0.4)
+        late = given.client()
+        late.send(query())
+        assert early.answer().rows and late.answer().rows
+        assert given.gateway.process.wait(PATIENCE_S) == 0
+        assert re.search(r"queries: served=2 taken=2", given.gateway.text())
+
+
+def test_sigterm_fails_at_last_what_would_not_end() -> None:
+    with deployment(engine(mode="silent")) as given:
+        client = given.client()
+        client.send(query("once", ttl=8000))
+        wait_for(lambda: given.engines[0].done)
+        start = time.monotonic()
+        given.gateway.signal(signal.SIGTERM)
+        answer = client.answer()
+        assert answer.sqlstate and not HARMLESS.match(answer.sqlstate)
+        assert time.monotonic() - start < 3.65
+        assert given.gateway.process.wait(PATIENCE_S) == 0
+
+
+def test_counters_are_printed_on_a_signal() -> None:
+    with deployment() as given:
+        assert given.client().ask(query()).rows
+        given.gateway.signal(signal.SIGUSR1)
+        wait_for(lambda: "queries: served=1 taken=1" in given.gateway.text())
+        assert "attempts: ok=1 sent=1" in given.gateway.text()
+
+
+def test_a_bad_start_is_one_line_and_a_status(tmp_path: Path) -> None:
+    with listener() as busy:
+        port = busy.getsockname()[1]
+        config = {"listen": f"127.0.0.1:{port}", "bulletin": "127.0.0.1:9", "settings": settings()}
+        for given, environment, says in (
+            (None, {"RELAY_CONFIG": str(tmp_path / "none.json")}, "can't read the configuration"),
+            ({"listen": "x"}, {}, "can't be used"),
+            (config, {}, "can't listen"),
+        ):
+            gateway = Gateway(given, tmp_path, **environment)
+            assert gateway.process.wait(PATIENCE_S) == 1
+            assert says in gateway.text() and len(gateway.text().splitlines()) <= 6
+
+
+def test_clients_beyond_the_descriptors_wait_and_lose_nothing() -> None:
+    with deployment(engine(delay=0.05), sockets=64) as given:
+        answers: list[str] = []
+
+        def one() -> None:
+            client = given.client()
+            answers.append(client.ask(query()).status)
+            client.close()
+
+        threads = [threading.Thread(target=one) for _ in range(120)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(PATIENCE_S)
+        assert answers == ["I"] * 120
--- a/whintrail/gateway/buffer.py
+++ b/whintrail/gateway/buffer.py
@@ -30,7 +30,8 @@
         if held == 0 and size > self._first:
             self._data = bytearray(self._first)  # what a long message took is given back
         elif self._end == size and size < self._most:
-            self._data += bytes(min(size, self._most - size))
+            # A new one: the old one can't be resized while some view of it is still held.
+            self._data = self._data + bytes(min(size, self._most - size))
         return memoryview(self._data)[self._end :]
 
     def filled(self, count: int) -> None:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -49,14 +49,15 @@
 
 def read_startup(buffer: Buffer, most: int) -> Startup | EncryptionRequest | CancelRequest | None:
     """The first message of a connection, which has no type; None while it is not whole."""
-    if len(buffer) < _startup.size:
+    if len(buffer) < _length.size:
         return None
-    length, code = _startup.unpack(buffer.peek(_startup.size))
+    (length,) = _length.unpack(buffer.peek(_length.size))
     if not _startup.size <= length <= most:
         raise ProtocolError(VIOLATION, "invalid length of startup packet")
     if len(buffer) < length:
         return None
-    body = buffer.take(length)[_startup.size :]
+    message = buffer.take(length)
+    (_, code), body = _startup.unpack_from(message), message[_startup.size :]
     if code in (SSL_REQUEST, GSS_REQUEST):
         return EncryptionRequest()
     if code == CANCEL_REQUEST:
--- a/whintrail/gateway/statement.py
+++ b/whintrail/gateway/statement.py
@@ -72,9 +72,9 @@
 _token = re.compile(
     r"""
     --[^\n]*
-  | [eE]'(?:[^'\\]|\\.|'')*'
-  | '(?:[^']|'')*'
-  | \$(?P<tag>[A-Za-z_\x80-\U0010ffff][\w]*)?\$.*?\$(?(tag)(?P=tag))\$
+  | [eE]'(?:[^'\\]|\\.|'')*(?:'|\Z)
+  | '(?:[^']|'')*(?:'|\Z)
+  | \$(?P<tag>[A-Za-z_\x80-\U0010ffff][\w]*)?\$.*?(?:\$(?(tag)(?P=tag))\$|\Z)
   | "(?P<quoted>(?:[^"]|"")*)"
   | (?P<word>[A-Za-z_\x80-\U0010ffff][\w$]*)
   | [0-9][\w.]*
