Ask heavy queries to end ever sooner the fewer connections clients have left

Seen on fleet-1 by class: reports hold 60% of a gateway's connection time, a tail of long ones most of it, while 24% of requests were refused or never taken.

--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -54,14 +54,38 @@
     assert given.gateway.engines["e1"].errors.value == 0
 
 
-def test_where_clients_can_open_little_more_no_load_stands_in_line_and_none_is_held() -> None:
-    given = Driver(settings(LOAD, query_class(), kind_cores={"k8": 400.0}, max_open=10), engine("e1"))
-    for number in range(8):
-        given.ask(number)
-    for number in range(10, 14):
-        given.ask(number, "load", cost_us=0.2 * SECOND, tables=4)
-    taken = [number for number in range(10, 14) if sends(given.actions, number)]
-    assert taken == [10]
-    assert (
-        answers(given.actions, 11) == answers(given.actions, 12) == answers(given.actions, 13) == [api.Refuse]
+def crowded(open_queries: int) -> Driver:
+    report = query_class("report", aim_us=SECOND // 2, aim_stretch=2.5, threads=2)
+    given = Driver(
+        settings(LOAD, query_class(), report, kind_cores={"k8": 400.0}, max_open=100), engine("e1")
     )
+    given.learn("report", cost_us=0.2 * SECOND)
+    for number in range(open_queries):
+        given.ask(number, cost_us=1000.0)
+    return given
+
+
+def test_the_fewer_queries_clients_can_still_open_the_sooner_a_heavy_one_must_end() -> None:
+    for open_queries, seconds, taken in (
+        (60, 8.0, True),
+        (90, 8.0, False),
+        (90, 0.2, True),
+        (98, 0.4, False),
+    ):
+        given = crowded(open_queries)
+        actions = given.ask(1000, "report", cost_us=seconds * SECOND)
+        assert bool(sends(actions, 1000)) == taken
+        assert answers(actions, 1000) == ([] if taken else [api.Refuse])
+
+
+def test_where_clients_can_open_little_more_no_load_stands_in_line() -> None:
+    given = crowded(90)
+    for number in (1000, 1001):
+        given.ask(number, "load", cost_us=0.2 * SECOND, tables=4)
+    assert sends(given.actions, 1000)
+    assert answers(given.actions, 1001) == [api.Refuse]
+
+
+def test_light_queries_pass_while_clients_can_open_one_more() -> None:
+    given = crowded(99)
+    assert sends(given.ask(1000, cost_us=1000.0))
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -25,7 +25,7 @@
 SHARE_GAIN, WHOLE_STEP = 0.08, 0.05  # how fast our share follows reports, and the fleet's bounds latency
 WIDTH_STEP, WIDTH_LEAST, WIDTH_MOST = 0.01, 0.5, 2.0  # how far and how fast latency moves the bounds
 LOAD_FLOOR, DRAW_POWER = 0.2, 3.0  # what an idle engine counts; how steep: higher chases stale reports
-CROWDED = 0.7  # of the queries that clients can have open: then no heavy one is held, no load stands in line
+CROWDED = 0.7  # of the queries that clients can have open: from then on heavy ones must end ever sooner
 SINCE_US = 600_000  # our sends count on top of the reports until reports have had time to show them
 REPORT_AGE_US = 4_000_000  # older reports say nothing: frozen or stopped, the engine counts as average
 # --- Health.
@@ -84,7 +84,7 @@
         self.ready: list[Engine] = []  # engines that the list calls ready, kept in step with it
         self.phase = self.random.random()  # our turn among the gateways
         self.whole = Sent()  # what is kept of an engine, of all together
-        self.most, self.crowded = CROWDED * (settings.max_open or math.inf), False
+        self.most, self.free = settings.max_open or math.inf, 1.0  # queries open; share of what is kept free
         self.healthy, self.losses = False, Mean()  # some engine is well; share of answers that do not come
         self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
@@ -97,7 +97,8 @@
         return [api.SetTimer(SWEEP, self.now), *([api.WatchList(True)] * self.settings.list_on_request)]
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
-        self.now, self.actions, self.crowded = now, [], len(self.queries) > self.most
+        self.now, self.actions = now, []
+        self.free = min(1.0, (1 - len(self.queries) / self.most) / (1 - CROWDED))
         type(self).__dict__["_on"].dispatcher.dispatch(type(event))(self, event)
         return self.actions
 
@@ -148,7 +149,7 @@
         if not self._turn(query):
             return False
         if (engine := self._choose(query, only)) is None:
-            if self.crowded and query.gated and not only:
+            if self.free < 1 and query.gated and not only:
                 self._end(query)  # held, it would keep others from reaching us at all
                 return True
             lane = self.lanes.setdefault((query.cls.settings.name, query.heavy), [])
@@ -184,10 +185,9 @@
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
-        if query.gated and self.now + self._expected_us(query, engine) > query.due:
-            return False  # it could not finish in time there
-        if self.crowded and query.group is not None and engine.loads[query.group] > 1:
-            return False
+        spare = self.free if query.group is None else 1.0 - (self.free < 1 and engine.loads[query.group] > 1)
+        if query.gated and self._expected_us(query, engine) > spare * (query.due - self.now):
+            return False  # it could not finish in time there, or would keep others from reaching us
         if not self._pressed(engine):
             return True
         threads, long = query.threads, query.span_us > self.mean_span_us
