--- a/whintrail/gateway/bulletin.py
+++ b/whintrail/gateway/bulletin.py
@@ -113,17 +113,17 @@
         while True:
             before = self.number
             try:
-                alive = await self._follow()
+                sound = await self._follow()
             except (OSError, TimeoutError) as error:
-                alive = False
+                sound = False
                 self.log.line("bulletin", f"no connection: {type(error).__name__}: {error}")
             self.counters.add("bulletin", "reconnects")
-            wait = self.limits.bulletin_retry_first_s if alive or self.number > before else wait * 2
+            wait = self.limits.bulletin_retry_first_s if sound or self.number > before else wait * 2
             wait = min(wait, self.limits.bulletin_retry_most_s)
             await asyncio.sleep(wait)
 
     async def _follow(self) -> bool:
-        """Take lines until the connection ends, is silent or misses something; True if any came."""
+        """Take lines until the connection ends; False if it was silent or missed something."""
         loop, sock, limits = asyncio.get_running_loop(), tcp_socket(), self.limits
         connection = Connection(sock, Buffer(limits.first_buffer, limits.bulletin_line_bytes))
         came = False
@@ -140,9 +140,9 @@
                 while (end := buffer.find(b"\n", limits.bulletin_line_bytes)) >= 0:
                     came = True
                     if not self.take_line(buffer.take(end + 1)):
-                        return came
+                        return False
                 if buffer.full:
                     self.log.line("bulletin", "a line without end")
-                    return came
+                    return False
         finally:
             await connection.close()
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -97,6 +97,13 @@
             return 0
         return int(LAST_DATA.unpack(info)[0]) * 1000 if len(info) == LAST_DATA.size else 0
 
+    def unread(self) -> bool:
+        """Whether bytes wait in the kernel."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def finish(self) -> None:
         """No more is written: the other side sees the end after the last byte."""
         with suppress(OSError):
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -193,9 +193,9 @@
             self.pool.inbox.put(Noted(carried.attempt, topic, value))
 
     def _served(self, carried: Carried, answer: lines.Answer) -> None:
-        total = answer.number("total")
-        total = 1 if total is None else total
-        if carried.served or not 1 <= total <= self.limits.result_pages or total != int(total):
+        total = answer.number("total") if "total" in answer.fields else 1
+        sound = total is not None and 1 <= total <= self.limits.result_pages and total == int(total)
+        if carried.served or total is None or not sound:
             self._unreadable(carried, f"served with {answer.fields.get('total')} pages")
             return
         carried.served, carried.total = answer, int(total)
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -222,7 +223,14 @@
     # --- What happens.
 
     def _tell(self, event: api.Event) -> None:
-        self._do(self.module.handle(self.now, event))
+        try:
+            actions = self.module.handle(self.now, event)
+        except Exception as error:  # one query's trouble must not be everybody's
+            self.counters.add("module", "faults")
+            where = traceback.extract_tb(error.__traceback__)[-1]
+            self.log.line("module", f"{type(error).__name__}: {error} at line {where.lineno}, on {event}")
+            actions = self.module.actions  # what it had decided by then, which it remembers
+        self._do(actions)
 
     def _take(self, item: Input) -> None:
         match item:
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -50,6 +50,7 @@
 
     async def run(self) -> None:
         connection = self.connection
+        start_by = connection.loop.time() + self.limits.startup_s
         try:
             while not self.ended:
                 if connection.buffer.full:  # more than one query ahead: it waits
@@ -57,7 +58,7 @@
                     await self.free.wait()
                     continue
                 if not self.started:
-                    async with asyncio.timeout(self.limits.startup_s):
+                    async with asyncio.timeout_at(start_by):
                         alive = await connection.receive()
                 else:
                     alive = await connection.receive()
@@ -180,6 +181,8 @@
             self.connection.write(last)
         self.ended = True
         self.free.set()
+        # Should the client neither close nor write, its task is still receiving by then.
+        self.connection.loop.call_later(self.limits.client_write_s, self.sessions.drop, self)
 
     def serve(self, query: Query, pages: list[pg.Rows]) -> None:
         count = sum(page.count for page in pages)
@@ -277,6 +280,10 @@
         if found is not None and found[0].secret == secret:
             found[0].cancelled()
 
+    def drop(self, session: Session) -> None:
+        if found := self.sessions.get(session.process):
+            found[1].cancel()
+
     def forget(self, session: Session) -> None:
         self.sessions.pop(session.process, None)
         self.room.set()
@@ -284,7 +291,7 @@
     def close_idle(self) -> bool:
         """Close sessions with no query open; True once none is left."""
         for session, task in list(self.sessions.values()):
-            if session.idle:
+            if session.idle and not session.connection.unread():
                 task.cancel()
         return not self.sessions
 
