Set the loop's alarm in whole milliseconds

A sampling profile put 1.3% of a core into setting alarms that came up to half a millisecond early and were set again.

--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -295,12 +295,15 @@
                         link.close()
 
     def send(self, attempt: Attempt) -> None:
-        link = next((k for k in self.links.get(attempt.engine, ()) if k.may_carry(attempt)), None)
-        link = link or self._open(attempt.engine)
-        if link is None:
+        for link in self.links.get(attempt.engine, ()):
+            if link.may_carry(attempt):
+                link.send(attempt)
+                return
+        opened = self._open(attempt.engine)
+        if opened is None:
             self.inbox.put(Ended(attempt, api.Outcome.CONNECT_FAILED))
         else:
-            link.send(attempt)
+            opened.send(attempt)
 
     def undo(self, attempt: Attempt) -> None:
         for link in self.links.get(attempt.engine, ()):
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -213,7 +213,8 @@
                 return
             self.alarm.cancel()
         self.alarm_at = due
-        delay = max(0.0005, (due - self.clock.now_us()) / 1e6)
+        # The loop's timers count whole milliseconds: one that came early would only be set again.
+        delay = max(0, due - self.clock.now_us()) // 1000 / 1000 + 0.001
         self.alarm = asyncio.get_running_loop().call_later(delay, self._ring)
 
     def _ring(self) -> None:
--- a/whintrail/gateway/statement.py
+++ b/whintrail/gateway/statement.py
@@ -6,7 +6,6 @@
 
 _comment = re.compile(rb"\s*/\*(.*?)\*/\s*", re.DOTALL)
 _call = re.compile(rb"[0-9a-f]{16}\Z")
-_number = re.compile(r"[0-9]+(\.[0-9]*)?\Z|\.[0-9]+\Z")
 
 
 class StatementError(ValueError):
@@ -29,7 +28,7 @@
     text = fields.get(name)
     if text is None:
         return None
-    if len(text) > 18 or not _number.match(text):
+    if len(text) > 18 or not (text.isascii() and text.replace(".", "", 1).isdigit()):
         raise StatementError(f"field {name} is not a number of zero or more")
     return float(text)
 
