--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,161 @@
+"""The owner alone, with engines and a client that only remember: one end for each attempt and query."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from whintrail import interface as api
+from whintrail.gateway.clock import Clock
+from whintrail.gateway.counters import Counters
+from whintrail.gateway.limits import Limits
+from whintrail.gateway.log import Log
+from whintrail.gateway.owner import Asked, Attempt, Ended, Gone, Inbox, Listed, Noted, Owner, Query
+from whintrail.gateway.postgres import Rows
+from whintrail.gateway.statement import read_statement
+
+from .helpers import engine, query_class, settings
+
+OK, CANCELLED = api.Outcome.OK, api.Outcome.CANCELLED
+
+
+class Engines:
+    def __init__(self) -> None:
+        self.sent: list[Attempt] = []
+        self.undone: list[Attempt] = []
+
+    def update(self, listed: Listed) -> None: ...
+
+    def send(self, attempt: Attempt) -> None:
+        self.sent.append(attempt)
+
+    def undo(self, attempt: Attempt) -> None:
+        self.undone.append(attempt)
+
+    def bump(self, attempt: Attempt) -> None: ...
+
+    def probe(self, engine: str) -> None: ...
+
+
+class Asker:
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+
+    def serve(self, query: Query, pages: list[Rows]) -> None:
+        self.answers.append("served")
+
+    def refuse(self, query: Query, pause_us: int | None) -> None:
+        self.answers.append("refused")
+
+    def fail(self, query: Query, reason: str) -> None:
+        self.answers.append(reason)
+
+
+class World:
+    """An owner that knows one engine, and its one client."""
+
+    def __init__(self) -> None:
+        self.engines, self.client, self.counters = Engines(), Asker(), Counters()
+        self.inbox = Inbox(Clock())
+        given = settings(query_class(), query_class("once", effect=api.Effect.ONCE))
+        limits = Limits.read({"settings": {"Limits": {"MaxOpen": 100}}})
+        self.owner = Owner(given, 7, limits, self.inbox, self.engines, self.counters, Log("test"))
+        self.inbox.put(Listed(api.EngineList(api.ListKind.CACHED, (engine("e1"),)), {"e1": "127.0.0.1:9"}))
+
+    def ask(self, op: str = "short", ttl_ms: int = 5000) -> Query:
+        text = f"/* op={op},call={len(self.engines.sent):016x},ttl={ttl_ms} */ SELECT 1 FROM a_1.b"
+        query = Query(self.client, read_statement(text.encode()), self.inbox.clock.now_us())
+        self.inbox.put(Asked(query))
+        return query
+
+
+def play(story: Callable[[World], Awaitable[None]]) -> World:
+    async def run() -> World:
+        world = World()
+        task = asyncio.create_task(world.owner.run())
+        try:
+            await asyncio.wait_for(story(world), 10)
+        finally:
+            task.cancel()
+        return world
+
+    return asyncio.run(run())
+
+
+async def settle() -> None:
+    await asyncio.sleep(0.02)
+
+
+def test_the_first_end_of_an_attempt_counts_and_later_ones_do_not() -> None:
+    async def story(world: World) -> None:
+        world.ask()
+        await settle()
+        (attempt,) = world.engines.sent
+        for outcome in (OK, OK, api.Outcome.RESET, api.Outcome.TIMEOUT):
+            world.inbox.put(Ended(attempt, outcome, pages=[]))
+        world.inbox.put(Noted(attempt, api.Topic.PROGRESS, 0.5))
+        await settle()
+
+    world = play(story)
+    assert world.client.answers == ["served"]
+    assert (world.counters["attempts", "ok"], world.counters["attempts", "reset"]) == (1, 0)
+
+
+def test_a_client_that_leaves_has_its_attempt_undone_and_gets_no_answer() -> None:
+    async def story(world: World) -> None:
+        query = world.ask()
+        await settle()
+        world.inbox.put(Gone(query))
+        world.inbox.put(Gone(query))
+        await settle()
+        world.inbox.put(Ended(world.engines.sent[0], OK, pages=[]))
+        await settle()
+
+    world = play(story)
+    assert world.client.answers == []
+    assert len(world.engines.undone) == 1
+    assert (world.counters["queries", "left"], world.counters["attempts", "cancelled"]) == (1, 1)
+
+
+def test_an_attempt_without_an_end_times_out_with_its_client() -> None:
+    async def story(world: World) -> None:
+        world.ask("once", ttl_ms=300)
+        await asyncio.sleep(0.5)
+
+    world = play(story)
+    assert world.client.answers == ["failed"]
+    assert world.engines.undone and not world.owner.queries and not world.owner.attempts
+
+
+def test_a_fault_of_the_module_ends_no_other_query() -> None:
+    def broken(*_: object) -> None:
+        raise ZeroDivisionError("for this test")
+
+    async def story(world: World) -> None:
+        module = world.owner.module
+        world.ask(ttl_ms=300)
+        await settle()
+        judge = module._judge
+        module._judge = broken  # type: ignore[method-assign]
+        world.inbox.put(Ended(world.engines.sent[0], api.Outcome.ERROR))
+        await settle()
+        module._judge = judge  # type: ignore[method-assign]
+        world.ask()
+        await settle()
+        world.inbox.put(Ended(world.engines.sent[1], OK, pages=[]))
+        await asyncio.sleep(0.5)
+
+    world = play(story)
+    assert world.counters["module", "faults"] == 1
+    assert world.client.answers == ["served", "refused"]
+
+
+def test_time_runs_forward_and_timers_fire_in_order() -> None:
+    async def story(world: World) -> None:
+        fired: list[int] = []
+        now = world.inbox.clock.now_us()
+        for number, delay_ms in enumerate((30, 10, 20)):
+            world.owner._at(now + delay_ms * 1000, lambda number=number: fired.append(number))  # type: ignore[misc]
+        world.inbox.wake()
+        await asyncio.sleep(0.1)
+        assert fired == [1, 2, 0]
+
+    play(story)
