--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -134,7 +134,7 @@
         world.ask(ttl_ms=300)
         await settle()
         judge = module._judge
-        module._judge = broken  # type: ignore[method-assign]
+        module._judge = broken  # type: ignore[method-assign,assignment]
         world.inbox.put(Ended(world.engines.sent[0], api.Outcome.ERROR))
         await settle()
         module._judge = judge  # type: ignore[method-assign]
