--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -57,7 +57,7 @@
         self.inbox = Inbox(Clock())
         given = settings(query_class(), query_class("once", effect=api.Effect.ONCE))
         limits = Limits.read({"settings": {"Limits": {"MaxOpen": 100}}})
-        self.owner = Owner(given, 7, limits, self.inbox, self.engines, self.counters, Log("test"))
+        self.owner = Owner(given, 7, limits, self.inbox, self.engines, self.counters, Log("test", 5.0, 1.0))
         self.inbox.put(Listed(api.EngineList(api.ListKind.CACHED, (engine("e1"),)), {"e1": "127.0.0.1:9"}))
 
     def ask(self, op: str = "short", ttl_ms: int = 5000) -> Query:
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from whintrail.gateway.postgres import MOST_TEXT
 from whintrail.settings import get
 
 MEGABYTE = 1 << 20
@@ -26,6 +27,8 @@
     link_out_bytes: int
     bulletin_line_bytes: int
     # Counts.
+    log_burst: float  # lines of one kind at once
+    log_per_second: float
     open_queries: int  # a client has one open on a connection
     streams: int
     # Times in seconds.
@@ -61,10 +64,12 @@
             startup_bytes=10_000,
             query_bytes=max(16_384, min(MEGABYTE, int(memory * MEGABYTE / 4 / clients))),
             engine_line_bytes=4096,
-            page_bytes=6000,
+            page_bytes=MOST_TEXT,
             result_pages=64,
             link_out_bytes=MEGABYTE,
             bulletin_line_bytes=MEGABYTE,
+            log_burst=5.0,
+            log_per_second=1.0,
             open_queries=min(int(get(allowed, "MaxOpen", 20_000)), sockets // 3),
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
             connect_s=get(allowed, "ConnectTimeoutUs", 250_000) / 1e6,
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -138,7 +138,7 @@
 
 
 COLUMNS = 3  # of every result
-MOST_TEXT = 6000  # in one row; heads and lengths up to that are made once, as rows are many
+MOST_TEXT = 6000  # in one page, and so in a row; heads and lengths up to that are made once, as rows are many
 _column_lengths = [_length.pack(n) for n in range(MOST_TEXT + 1)]
 _row_heads = [struct.pack("!cIH", b"D", 6 + 4 * COLUMNS + length, COLUMNS) for length in range(MOST_TEXT + 1)]
 _row_marks = b"\t\t\n"
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -17,12 +17,14 @@
 from whintrail.gateway.counters import Counters
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.links import Links
-from whintrail.gateway.log import Log
+from whintrail.gateway.log import Log, say
 from whintrail.gateway.owner import Inbox, Owner, Stop
 from whintrail.gateway.sessions import Sessions
 from whintrail.interface import ReportsBy
 from whintrail.settings import get, read_report, read_settings
 
+NAME = "whintrail"  # until the configuration gives one
+
 
 class StartError(Exception):
     """The program can't start."""
@@ -45,9 +47,11 @@
 
 class Service:
     def __init__(self, config: Mapping[str, Any]) -> None:
-        self.log, self.counters = Log(str(get(config, "name", "whintrail"))), Counters()
+        self.counters = Counters()
         try:
             self.limits = Limits.read(config)
+            name = str(get(config, "name", NAME))
+            self.log = Log(name, self.limits.log_burst, self.limits.log_per_second)
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
@@ -126,7 +130,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_serve(config))
     except StartError as error:
-        Log().always(str(error))
+        say(NAME, str(error))
         return 1
     return 0
 
