Close the longest idle session when descriptors run short, and silent ones within 2 s

Cause: Sessions.accept paused at client_connections (115 of 256), and no idle session was ever closed, so 1899 clients that ask once and stay filled the table. Ruled out: engines (their sends went through), CPU, memory (17 of 64 MB).

Now the table gives up the session longest idle (quiet for 0.1 s at least, nothing unread) for a new one. A session must bring its first whole query within 2 s of accept, and any message that it has begun as fast. Lingering, silent and stalled sessions end by one look-through, in place of a timer each; 60 MB that nobody reads go into one shared buffer; a client has its turn of receives and messages, and is read no further while it does not read.

--- /dev/null
+++ b/tests/test_rough_clients.py
@@ -0,0 +1,89 @@
+"""The program among clients that stay for good, stay silent, or send what nobody can use."""
+
+import socket
+import struct
+import time
+from contextlib import suppress
+
+import pytest
+
+from .standins import Client, deployment, query
+
+
+def test_clients_that_ask_once_and_stay_make_way_for_new_ones() -> None:
+    with deployment(sockets=64) as given:  # room for 28 sessions
+        start, stay = time.monotonic(), []
+        for _ in range(70):
+            stay.append(given.client())
+            assert stay[-1].ask(query()).rows
+        assert time.monotonic() - start < 5.0
+        assert stay[0].file.read() == b""  # the longest idle was closed, without a word
+        assert stay[-1].ask(query()).rows
+
+
+def test_silent_connections_make_way_for_new_ones() -> None:
+    with deployment(sockets=64) as given:
+        silent = [Client(given.port, start=False) for _ in range(60)]
+        start = time.monotonic()
+        assert given.client().ask(query()).rows
+        assert time.monotonic() - start < 1.0
+        assert silent[0].file.read() == b""
+
+
+@pytest.mark.parametrize("first", [b"", b"\0\0", Client.startup(), Client.startup() + b"Q\0\0\1\0/* op="])
+def test_a_client_without_a_whole_query_is_ended_in_time(first: bytes) -> None:
+    with deployment() as given:
+        start = time.monotonic()
+        client = Client(given.port, start=False)
+        client.sock.sendall(first)
+        received = client.file.read()
+        assert 1.0 < time.monotonic() - start < 2.8
+        assert (b"FATAL" in received) == bool(first)
+
+
+def test_a_session_that_has_asked_may_rest_but_not_stop_within_a_query() -> None:
+    with deployment() as given:
+        client = given.client()
+        assert client.ask(query()).rows
+        time.sleep(2.5)
+        assert client.ask(query()).rows
+        start = time.monotonic()
+        client.sock.sendall(Client.simple(query())[:-1])
+        assert b"FATAL" in client.file.read()
+        assert 1.0 < time.monotonic() - start < 2.8
+
+
+def test_a_body_of_60_mb_is_refused_at_once_and_holds_up_nobody() -> None:
+    with deployment() as given:
+        other = given.client()
+        client = given.client()
+        start = time.monotonic()
+        client.sock.sendall(b"Q" + struct.pack("!I", 60_000_000))
+        block = bytes(1 << 20)
+        with suppress(OSError):  # it need not read all of it
+            for _ in range(60):
+                client.sock.sendall(block)
+                asked = time.monotonic()
+                assert other.ask(query()).rows
+                assert time.monotonic() - asked < 1.0
+            assert client.answer().sqlstate == "54000"
+        assert time.monotonic() - start < 6.0
+
+
+def test_messages_without_end_and_without_reading_are_bounded_and_hold_up_nobody() -> None:
+    with deployment() as given:
+        flood = given.client()
+        flood.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        flood.sock.settimeout(0.05)
+        block, sent = Client.message(b"S", b"") * 20_000, 0
+        other = given.client()
+        for _ in range(40):
+            try:
+                sent += flood.sock.send(block)
+            except TimeoutError:
+                break  # the gateway reads no more of what it can't answer
+            asked = time.monotonic()
+            assert other.ask(query()).rows
+            assert time.monotonic() - asked < 1.0
+        else:
+            pytest.fail(f"{sent} bytes taken from a client that reads no answer")
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -89,6 +89,14 @@
         self.buffer.filled(count)
         return count > 0
 
+    async def discard(self, waste: bytearray) -> bool:
+        """As `receive`, but nobody wants the bytes; `waste` may serve many connections."""
+        self.buffer.drop_all()
+        try:
+            return await self.loop.sock_recv_into(self.sock, waste) > 0
+        except OSError:
+            return False
+
     def waited_us(self) -> int:
         """How long ago the last bytes reached this machine, as far as its kernel tells."""
         try:
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -25,16 +25,22 @@
     page_bytes: int
     result_pages: int
     link_out_bytes: int
+    client_out_bytes: int
+    waste_bytes: int
     bulletin_line_bytes: int
     # Counts.
     log_burst: float  # lines of one kind at once
     log_per_second: float
     open_queries: int  # a client has one open on a connection
     streams: int
+    receives_a_turn: int  # of one client, before all others have had theirs
+    messages_a_turn: int
     # Times in seconds.
     connect_s: float
     idle_link_s: float
-    startup_s: float
+    whole_query_s: float  # from accept to the first whole query; of a later message from its first byte
+    quiet_s: float  # a session is idle so long before it makes way for another
+    watch_s: float  # how often sessions are looked through for those that are late
     client_write_s: float
     linger_s: float
     poll_s: float
@@ -67,15 +73,21 @@
             page_bytes=MOST_TEXT,
             result_pages=64,
             link_out_bytes=MEGABYTE,
+            client_out_bytes=65_536,
+            waste_bytes=65_536,
             bulletin_line_bytes=MEGABYTE,
             log_burst=5.0,
             log_per_second=1.0,
             open_queries=min(int(get(allowed, "MaxOpen", 20_000)), sockets // 3),
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
+            receives_a_turn=8,
+            messages_a_turn=32,
             connect_s=get(allowed, "ConnectTimeoutUs", 250_000) / 1e6,
             idle_link_s=get(allowed, "KeepaliveUs", 30_000_000) / 1e6,
-            startup_s=10.0,
-            client_write_s=10.0,
+            whole_query_s=2.0,
+            quiet_s=0.1,
+            watch_s=0.1,
+            client_write_s=5.0,
             linger_s=1.0,
             poll_s=0.02,
             bulletin_silent_s=3.0,
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import socket
+from contextlib import suppress
 
 from whintrail.gateway import postgres as pg
 from whintrail.gateway.buffer import Buffer
@@ -40,71 +41,99 @@
         self.answering = False  # an answer is being written
         self.answered_at = 0.0
         self.started = False
+        self.asked = False  # a whole query has come
+        # When the first query, or a message that has begun, must be whole at the latest.
+        self.due: float | None = self.now() + self.limits.whole_query_s
         self.skipping = False  # until Sync, after an error in the extended protocol
-        self.ended = False  # nothing more is read from the client or owed to it
+        self.ended_at: float | None = None  # from then on nothing is read from the client or owed to it
+        self.going_on = False  # more messages are to be taken in a later turn
         self.free = asyncio.Event()
 
+    def now(self) -> float:
+        return self.sessions.loop.time()
+
+    @property
+    def ended(self) -> bool:
+        return self.ended_at is not None
+
     @property
     def idle(self) -> bool:
-        return self.query is None and not self.answering and not len(self.connection.buffer)
+        return self.query is None and not self.answering and (self.ended or not len(self.connection.buffer))
 
     async def run(self) -> None:
-        connection = self.connection
-        start_by = connection.loop.time() + self.limits.startup_s
+        connection, turn = self.connection, self.limits.receives_a_turn
+        received = 0
         try:
-            while not self.ended:
-                if connection.buffer.full:  # more than one query ahead: it waits
+            while True:
+                if self.ended:
+                    if not await connection.discard(self.sessions.waste):
+                        break
+                elif connection.buffer.full:  # more than one query ahead: it waits
                     self.free.clear()
                     await self.free.wait()
                     continue
-                if not self.started:
-                    async with asyncio.timeout_at(start_by):
-                        alive = await connection.receive()
-                else:
-                    alive = await connection.receive()
-                if not alive:
+                elif not await connection.receive():
                     break
-                self._advance()
-            if self.ended:
-                await self._linger()
-        except TimeoutError:
-            self.counters.add("sessions", "silent")
+                else:
+                    self._advance()
+                received += 1
+                if received % turn == 0:  # one that never stops sending must leave the others their turn
+                    await asyncio.sleep(0)
         finally:
             self._leave()
             self.sessions.forget(self)
             await connection.close()
 
-    async def _linger(self) -> None:
-        """Let the last bytes reach the client: closing at once on unread input could take them away."""
-        try:
-            async with asyncio.timeout(self.limits.client_write_s):
-                while not self.connection.sent:
-                    await asyncio.sleep(self.limits.poll_s)
-            self.connection.finish()
-            async with asyncio.timeout(self.limits.linger_s):
-                while await self.connection.receive():
-                    self.connection.buffer.drop_all()
-        except TimeoutError:
-            pass
-
     def _leave(self) -> None:
         if self.query is not None:
             query, self.query = self.query, None
             self.inbox.put(Gone(query))
 
+    def overdue(self, now: float) -> str | None:
+        """Why the session has to end now, if it has."""
+        if self.ended_at is not None:
+            sent, since = self.connection.sent, now - self.ended_at
+            return (
+                "lingered" if since > (self.limits.linger_s if sent else self.limits.client_write_s) else None
+            )
+        if self.answering:
+            return "stalled" if now - self.answered_at > self.limits.client_write_s else None
+        return "silent" if self.query is None and self.due is not None and now > self.due else None
+
+    def expire(self) -> None:
+        """No whole query came in time: the client is told so where it has begun one."""
+        if self.started or len(self.connection.buffer):
+            self._end(pg.error(pg.CANCELED, "no whole query came in time", fatal=True))
+        else:
+            self.sessions.drop(self)
+
     # --- In.
 
     def _advance(self) -> None:
-        """Take what is whole, one query at a time."""
+        """Take what is whole, one query at a time, and only so many messages before others have a turn."""
         try:
-            while not self.ended and self.query is None and not self.answering:
+            for _ in range(self.limits.messages_a_turn):
+                if self.ended or self.query is not None or self.answering:
+                    break
+                if self.connection.unsent > self.limits.client_out_bytes:  # it asks without reading
+                    break
                 if not (self._take_message() if self.started else self._take_startup()):
                     break
+            else:
+                if not self.going_on:
+                    self.going_on = True
+                    self.sessions.loop.call_soon(self._go_on)
         except pg.ProtocolError as error:
             self.counters.add("sessions", "broken")
             self._end(pg.error(error.sqlstate, str(error), fatal=True))
+        if self.due is None and self.query is None and not self.answering and len(self.connection.buffer):
+            self.due = self.now() + self.limits.whole_query_s
         self.free.set()
 
+    def _go_on(self) -> None:
+        self.going_on = False
+        self._advance()
+
     def _take_startup(self) -> bool:
         message = pg.read_startup(self.connection.buffer, self.limits.startup_bytes)
         match message:
@@ -129,6 +158,8 @@
         if message is None:
             return False
         kind, body = message
+        if self.asked or kind == b"Q":
+            self.asked, self.due = True, None
         if kind == b"X":
             self._end()
         elif kind == b"S":
@@ -158,6 +189,7 @@
             return
         taken_us = self.inbox.clock.now_us() - self.connection.waited_us()
         self.query = Query(self, statement, taken_us)
+        self.sessions.quiet.pop(self, None)
         self.inbox.put(Asked(self.query))
 
     # --- Out.
@@ -172,17 +204,25 @@
 
     def _sent(self) -> None:
         """All that was to be written is: the next query may be taken."""
+        if self.ended:
+            self.connection.finish()
+            return
         if self.answering:
             self.answering = False
-            self._advance()
+            self.sessions.quiet[self] = self.now()
+        self._advance()
 
     def _end(self, last: bytes = b"") -> None:
+        """Write the last bytes, then wait for the client to close: to close on unread input could take
+        them away from it."""
+        self.ended_at = self.now()
+        self.free.set()
+        self.sessions.quiet.pop(self, None)
+        self.sessions.ending[self] = None
         if last:
             self.connection.write(last)
-        self.ended = True
-        self.free.set()
-        # Should the client neither close nor write, its task is still receiving by then.
-        self.connection.loop.call_later(self.limits.client_write_s, self.sessions.drop, self)
+        elif self.connection.sent:
+            self.sessions.drop(self)
 
     def serve(self, query: Query, pages: list[pg.Rows]) -> None:
         count = sum(page.count for page in pages)
@@ -212,6 +252,9 @@
         self.limits, self.inbox, self.counters, self.log = limits, inbox, counters, log
         self.loop = asyncio.get_running_loop()
         self.sessions: dict[int, tuple[Session, asyncio.Task[None]]] = {}
+        self.quiet: dict[Session, float] = {}  # no query open since when, the longest first
+        self.ending: dict[Session, None] = {}  # have their last bytes, the first to end first
+        self.waste = bytearray(limits.waste_bytes)  # takes what nobody reads, of all sessions
         self.processes = 0
         self.room = asyncio.Event()
         self.listener: socket.socket | None = None
@@ -229,37 +272,65 @@
         self.listener = listener
 
     async def watch(self) -> None:
-        """End sessions whose client reads nothing of its answer."""
+        """End sessions that keep us waiting: for a whole query, for their answer to be read, or to close."""
         while True:
-            await asyncio.sleep(self.limits.client_write_s / 10)
-            before = self.loop.time() - self.limits.client_write_s
+            await asyncio.sleep(self.limits.watch_s)
+            now = self.loop.time()
             for session, task in list(self.sessions.values()):
-                if session.answering and session.answered_at < before:
-                    self.counters.add("sessions", "stalled")
+                if (why := session.overdue(now)) is None:
+                    continue
+                self.counters.add("sessions", why)
+                if why == "silent":
+                    session.expire()
+                else:
                     task.cancel()
 
     async def accept(self) -> None:
-        """Take in connections while descriptors allow; the others wait in the kernel's line."""
+        """Take in connections; where descriptors run short, at the cost of the longest idle session."""
         assert self.listener is not None
+        accepted = 0
         while True:
             if len(self.sessions) >= self.limits.client_connections:
-                self.log.line("sessions", "as many clients as the descriptors allow")
                 self.room.clear()
-                await self.room.wait()
+                self._make_room()
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(self.limits.poll_s):
+                        await self.room.wait()
                 continue
             try:
                 sock, _ = await self.loop.sock_accept(self.listener)
             except OSError as error:
                 self.log.line("sessions", f"accept: {error}")
+                self._make_room()
                 await asyncio.sleep(0.01)
                 continue
             self._start(sock)
+            accepted += 1
+            if accepted % self.limits.receives_a_turn == 0:
+                await asyncio.sleep(0)
+
+    def _make_room(self) -> None:
+        """Close a session that waits only for its client: one that was told its end, or the longest idle."""
+        for session in self.ending:
+            if session.connection.sent:
+                self.drop(session)
+                return
+        before = self.loop.time() - self.limits.quiet_s
+        for session, since in self.quiet.items():
+            if since > before:  # its query may be on the way: to close on it would only bring it back
+                break
+            if not session.connection.unread():
+                self.counters.add("sessions", "displaced")
+                self.drop(session)
+                return
+        self.log.line("sessions", "as many clients at work as the descriptors allow: new ones wait")
 
     def _start(self, sock: socket.socket) -> None:
         prepare(sock)
         self.processes += 1
         session = Session(self, sock, self.processes)
         self.sessions[session.process] = session, self.loop.create_task(session.run())
+        self.quiet[session] = self.loop.time()
         self.counters.add("sessions", "opened")
 
     def accept_last(self) -> None:
@@ -281,17 +352,22 @@
             found[0].cancelled()
 
     def drop(self, session: Session) -> None:
+        """Close it; it is no longer among those that could be closed."""
+        self.quiet.pop(session, None)
+        self.ending.pop(session, None)
         if found := self.sessions.get(session.process):
             found[1].cancel()
 
     def forget(self, session: Session) -> None:
         self.sessions.pop(session.process, None)
+        self.quiet.pop(session, None)
+        self.ending.pop(session, None)
         self.room.set()
 
     def close_idle(self) -> bool:
         """Close sessions with no query open; True once none is left."""
         for session, task in list(self.sessions.values()):
-            if session.idle and not session.connection.unread():
+            if session.idle and (session.ended or not session.connection.unread()):
                 task.cancel()
         return not self.sessions
 
