Take a new configuration on SIGHUP and follow the bulletin to its new address

Seen: reload crashed (ended by signal 1, exit status 129) with 3 requests lost. Cause: service.py had no handler for SIGHUP, whose default ends the process.

Now the configuration is read again; the bulletin is followed at its new address from the last number held, at once; one that can't be used leaves the old one in force with a line. Only the bulletin's address is taken up. The signal is ignored until the handler stands. Addresses must be IPv4 and a port, so that a wrong one is refused and never looked up. A bulletin silent for 1.6 s (it speaks each second) is asked anew, its connects wait 0.5 s and tries come every 0.4 s: what it has to tell counts as told 4 s after it stops.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -239,6 +239,7 @@
     def __init__(self) -> None:
         self.events: list[dict[str, Any]] = []
         self.asked: list[int] = []
+        self.mute = False  # says nothing more, and keeps connections open
         super().__init__()
 
     def publish(self, *entries: dict[str, Any], reset: bool = False) -> None:
@@ -252,6 +253,9 @@
         self.asked.append(last)
         beat = 0.0
         while True:
+            if self.mute:
+                time.sleep(0.02)
+                continue
             for event in self.events[last:]:
                 sock.sendall(json.dumps(event).encode() + b"\n")
                 last = event["no"]
@@ -375,7 +379,7 @@
         with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
             run = tomllib.load(file)["run"]
         self.log = folder / "log"
-        path = folder / "config.json"
+        self.path = path = folder / "config.json"
         if config is not None:
             path.write_text(json.dumps(config))
         with open(self.log, "wb") as log:
--- a/whintrail/gateway/bulletin.py
+++ b/whintrail/gateway/bulletin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from contextlib import suppress
 from typing import Any
 
 import orjson
@@ -73,6 +74,9 @@
     ) -> None:
         self.limits, self.inbox, self.counters, self.log = limits, inbox, counters, log
         self.where = address(config["bulletin"])
+        self.following: asyncio.Task[bool] | None = None
+        self.moved = False  # to another address, since the last connect
+        self.retry = asyncio.Event()  # no need to wait for the next try
         self.number = 0  # of the last event that we have
         self.told = False
         known = get(config, "known", {})
@@ -108,19 +112,38 @@
             self.log.line("bulletin", f"a line skipped: {error}")
         return True
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Follow the bulletin at another address, from the last number that we have."""
+        if where != self.where:
+            self.where, self.moved = where, True
+            if self.following is not None:
+                self.following.cancel()
+            self.retry.set()
+
     async def run(self) -> None:
         wait = self.limits.bulletin_retry_first_s
+        loop = asyncio.get_running_loop()
         while True:
-            before = self.number
+            before, self.moved = self.number, False
+            self.following = loop.create_task(self._follow())
             try:
-                sound = await self._follow()
+                sound = await self.following
+            except asyncio.CancelledError:
+                if not self.moved:  # the program ends
+                    self.following.cancel()
+                    raise
+                sound = True
             except (OSError, TimeoutError) as error:
                 sound = False
                 self.log.line("bulletin", f"no connection: {type(error).__name__}: {error}")
             self.counters.add("bulletin", "reconnects")
             wait = self.limits.bulletin_retry_first_s if sound or self.number > before else wait * 2
             wait = min(wait, self.limits.bulletin_retry_most_s)
-            await asyncio.sleep(wait)
+            if not self.moved:
+                self.retry.clear()
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(wait):
+                        await self.retry.wait()
 
     async def _follow(self) -> bool:
         """Take lines until the connection ends; False if it was silent or missed something."""
@@ -128,7 +151,7 @@
         connection = Connection(sock, Buffer(limits.first_buffer, limits.bulletin_line_bytes))
         came = False
         try:
-            async with asyncio.timeout(limits.bulletin_silent_s):
+            async with asyncio.timeout(limits.bulletin_connect_s):
                 await loop.sock_connect(sock, self.where)
             prepare(sock)
             connection.write(b"after %d\n" % self.number)
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Callable
 from contextlib import suppress
+from ipaddress import IPv4Address
 
 from whintrail.gateway.buffer import Buffer
 
@@ -24,11 +25,11 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """host:port as an address."""
+    """host:port as an address; a host that is no IPv4 address would have to be looked up."""
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"no address: {text!r}")
-    return host, int(port)
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f"no port: {text!r}")
+    return str(IPv4Address(host)), int(port)
 
 
 class Connection:
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -44,7 +44,8 @@
     client_write_s: float
     linger_s: float
     poll_s: float
-    bulletin_silent_s: float
+    bulletin_connect_s: float
+    bulletin_silent_s: float  # it speaks each second
     bulletin_retry_first_s: float
     bulletin_retry_most_s: float
     accept_after_stop_s: float
@@ -90,9 +91,10 @@
             client_write_s=5.0,
             linger_s=1.0,
             poll_s=0.02,
-            bulletin_silent_s=3.0,
+            bulletin_connect_s=0.5,
+            bulletin_silent_s=1.6,
             bulletin_retry_first_s=0.05,
-            bulletin_retry_most_s=1.0,
+            bulletin_retry_most_s=0.4,
             accept_after_stop_s=0.75,
             finish_after_stop_s=min(longest, 3.0) + 0.4,
             gc_thresholds=(20_000, 20, 50),
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -46,7 +46,8 @@
 
 
 class Service:
-    def __init__(self, config: Mapping[str, Any]) -> None:
+    def __init__(self, config: Mapping[str, Any], environment: Mapping[str, str]) -> None:
+        self.environment = environment
         self.counters = Counters()
         try:
             self.limits = Limits.read(config)
@@ -70,11 +71,25 @@
         for line in self.counters.lines():
             self.log.always(line)
 
+    def reload(self) -> None:
+        """Take up a new configuration: the bulletin's address. All else stays as it was at the start; a
+        configuration that can't be used changes nothing."""
+        try:
+            where = address(read_config(self.environment)["bulletin"])
+        except (StartError, KeyError, TypeError, ValueError, AttributeError) as error:
+            self.counters.add("configuration", "refused")
+            self.log.line("configuration", f"the old one stays in force: {type(error).__name__}: {error}")
+            return
+        self.counters.add("configuration", "taken")
+        self.log.line("configuration", f"taken, bulletin at {where[0]}:{where[1]}")
+        self.bulletin.move(where)
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
             self.sessions.listen(self.listen)
         except OSError as error:
@@ -125,6 +140,7 @@
 def main() -> int:
     import uvloop
 
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is handled: it never ends the program
     try:
         config = read_config(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -136,4 +152,4 @@
 
 
 async def _serve(config: Mapping[str, Any]) -> None:
-    await Service(config).run()
+    await Service(config, os.environ).run()
