End links that go quiet in an answer, let surplus copies pass, give unrepeatable queries own links

Lines at fault: links.py _rows and _served took any copy for a broken answer; Link.may_carry put loads beside others, so that one bad answer lost them too; nothing looked at a link that stood but said nothing, or half an answer, until the module's patience of 1 s and more, and new requests went on it meanwhile; an idle link reset by the engine still took the next request until its reader woke.

Now an equal copy passes, an unequal one ends the link with all on it; half an answer for 0.4 s does so too; a link without a byte for 1.5 progress notes takes nothing new, nor one whose probe got no answer; an idle link is looked at before it takes a request; a class of effect 'once' shares no link while descriptors allow, and at the limit links are shared instead of failing as 'no connection'. An id that is open, or was within 4 s, is rejected: surplus answers of one query can't be served as another's. A client's ttl counts up to its class's deadline. An engine that never stops sending leaves others their turn.

--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -113,6 +113,15 @@
         except OSError:
             return False
 
+    def ended(self) -> bool:
+        """Whether the other side has ended the connection, though nobody has read so far."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def finish(self) -> None:
         """No more is written: the other side sees the end after the last byte."""
         with suppress(OSError):
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -38,6 +38,8 @@
     # Times in seconds.
     connect_s: float
     idle_link_s: float
+    quiet_link_us: int  # without a byte while requests are open
+    partial_answer_us: int  # from an answer's first byte to its last
     whole_query_s: float  # from accept to the first whole query; of a later message from its first byte
     quiet_s: float  # a session is idle so long before it makes way for another
     watch_s: float  # how often sessions are looked through for those that are late
@@ -54,6 +56,7 @@
     gc_thresholds: tuple[int, int, int]
     # Times in microseconds.
     answer_slack_us: int
+    call_memory_us: int  # the id of a query that is over is known for so long at least
 
     @staticmethod
     def read(config: Mapping[str, Any]) -> "Limits":
@@ -81,9 +84,11 @@
             log_per_second=1.0,
             open_queries=min(int(get(allowed, "MaxOpen", 20_000)), sockets // 3),
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
-            receives_a_turn=8,
+            receives_a_turn=4,
             messages_a_turn=32,
             connect_s=get(allowed, "ConnectTimeoutUs", 250_000) / 1e6,
+            quiet_link_us=int(1.5 * get(get(settings, "FamilyInfo", {}), "ProgressPaceUs", 0)) or 1_000_000,
+            partial_answer_us=400_000,
             idle_link_s=get(allowed, "KeepaliveUs", 30_000_000) / 1e6,
             whole_query_s=2.0,
             quiet_s=0.1,
@@ -98,5 +103,6 @@
             accept_after_stop_s=0.75,
             finish_after_stop_s=min(longest, 3.0) + 0.4,
             gc_thresholds=(20_000, 20, 50),
+            call_memory_us=4_000_000,
             answer_slack_us=int(get(rules, "AnswerSlackUs", 20_000)),
         )
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NoReturn
 
 from whintrail import interface as api
 from whintrail.gateway import enginelines as lines
@@ -50,6 +51,8 @@
         self.probes: dict[bytes, Probe] = {}
         self.connection: Connection | None = None
         self.idle_since = pool.now_s()
+        self.heard_us = pool.inbox.clock.now_us()  # when its last bytes came
+        self.partial_us: int | None = None  # since when an answer is not whole
         self.closing = False
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -57,9 +60,18 @@
     def busy(self) -> bool:
         return bool(self.carried or self.probes)
 
-    def may_carry(self, attempt: Attempt) -> bool:
+    @property
+    def alone(self) -> bool:
+        """It carries what may not be repeated."""
+        return next(iter(self.carried.values())).attempt.alone
+
+    def may_carry(self, attempt: Attempt, share: bool) -> bool:
+        if not self.carried and self.connection is not None and self.connection.ended():
+            self.retire()  # reset while it was idle: what is put on it would be lost, and may not be repeated
         if self.closing or len(self.carried) >= self.limits.streams or self in attempt.query.used:
             return False
+        if not share and self.carried and (attempt.alone or self.alone):
+            return False
         stalled = self.connection is not None and self.connection.unsent > self.limits.link_out_bytes
         return not stalled and attempt.query.statement.call not in self.carried
 
@@ -94,6 +106,8 @@
         if self.connection is not None:
             make = lines.forget if carried.served else lines.undo
             self._write(make(attempt.query.statement.call))
+            if self.quiet_since(attempt.sent_us):
+                self.retire()
 
     def bump(self, attempt: Attempt) -> None:
         carried = self.carried.get(attempt.query.statement.call)
@@ -110,6 +124,30 @@
         if not self.busy:
             self.idle_since = self.pool.now_s()
 
+    def quiet_since(self, sent_us: int) -> bool:
+        """No byte for longer than what runs goes without a sign: the link may be dead, though it stands."""
+        heard_us = max(self.heard_us, sent_us)
+        return self.pool.inbox.clock.now_us() - heard_us > self.limits.quiet_link_us
+
+    def retire(self) -> None:
+        """The link takes nothing new, and closes once nothing is open on it."""
+        if not self.closing:
+            self.closing = True
+            self.pool.counters.add("links", "retired")
+
+    def look(self, now_us: int) -> None:
+        """Guard against links that stand but can no longer be trusted: one that went quiet in the middle of
+        an answer ends with all that is open on it; one quiet while requests are open takes no new ones."""
+        if self.partial_us is not None and now_us - self.partial_us > self.limits.partial_answer_us:
+            self.pool.counters.add("links", "stopped_short")
+            self.pool.log.line("engine", f"{self.engine} at {self.where}: half an answer; link closed")
+            self.close()
+        elif not self.closing and self.carried:
+            if self.quiet_since(next(iter(self.carried.values())).attempt.sent_us):
+                self.retire()
+        elif self.closing and not self.busy:
+            self.close()
+
     def close(self) -> None:
         """The link takes nothing more; what is open on it ends as its connection does."""
         self.closing = True
@@ -135,11 +173,12 @@
                 self._write_do(carried.attempt)
             for tag in self.probes:
                 self._write(lines.probe(tag, self.pool.with_report))
+            received = 0
             while await self.connection.receive():
-                while answer := lines.read_answer(
-                    self.connection.buffer, self.limits.engine_line_bytes, self.limits.page_bytes
-                ):
-                    self._answered(answer)
+                self._take(self.connection.buffer)
+                received += 1
+                if received % self.limits.receives_a_turn == 0:  # an engine that never stops sending
+                    await asyncio.sleep(0)
         except lines.FramingError as error:
             self.pool.log.line("engine", f"{self.engine} at {self.where}: {error}; link closed")
         except (OSError, ValueError, TimeoutError):
@@ -164,6 +203,16 @@
 
     # --- In.
 
+    def _take(self, buffer: Buffer) -> None:
+        self.heard_us, whole = self.pool.inbox.clock.now_us(), False
+        while answer := lines.read_answer(buffer, self.limits.engine_line_bytes, self.limits.page_bytes):
+            self._answered(answer)
+            whole = True
+        if not len(buffer):
+            self.partial_us = None
+        elif whole or self.partial_us is None:
+            self.partial_us = self.heard_us
+
     def _answered(self, answer: lines.Answer) -> None:
         if answer.word in ("green", "red"):
             probe = self.probes.pop(answer.id, None)
@@ -193,11 +242,12 @@
             self.pool.inbox.put(Noted(carried.attempt, topic, value))
 
     def _served(self, carried: Carried, answer: lines.Answer) -> None:
+        if carried.served is not None:  # a second copy, while pages are on their way
+            self._compare(carried, 0, answer.body)
+            return
         total = answer.number("total") if "total" in answer.fields else 1
-        sound = total is not None and 1 <= total <= self.limits.result_pages and total == int(total)
-        if carried.served or total is None or not sound:
+        if total is None or not 1 <= total <= self.limits.result_pages or total != int(total):
             self._unreadable(carried, f"served with {answer.fields.get('total')} pages")
-            return
         carried.served, carried.total = answer, int(total)
         if self._keep(carried, 0, answer.body) and carried.total > 1:
             for number in range(1, carried.total):
@@ -207,18 +257,27 @@
         number = answer.number("index")
         if number is None or number != int(number) or not 1 <= number < carried.total:
             self._unreadable(carried, f"page {answer.fields.get('index')} of {carried.total}")
-        elif number in carried.pages:
-            self._unreadable(carried, f"page {int(number)} twice")
+        if number in carried.pages:
+            self._compare(carried, int(number), answer.body)
         else:
             self._keep(carried, int(number), answer.body)
 
+    def _compare(self, carried: Carried, number: int, page: bytes) -> None:
+        """A surplus copy of a page harms nothing; of two that differ, nobody knows which is right."""
+        self.pool.counters.add("answers", "surplus")
+        try:
+            same = data_rows(page).data == carried.pages[number].data
+        except ValueError:
+            same = False
+        if not same:
+            self._unreadable(carried, f"page {number} twice, and not alike")
+
     def _keep(self, carried: Carried, number: int, page: bytes) -> bool:
         """Keep a page; the last one ends the attempt. False if nothing more is to come of it."""
         try:
             carried.pages[number] = data_rows(page)
         except ValueError as error:
             self._unreadable(carried, f"page {number}: {error}")
-            return False
         if len(carried.pages) < carried.total:
             return True
         served = carried.served
@@ -238,11 +297,11 @@
         self._end(carried, ended)
         return False
 
-    def _unreadable(self, carried: Carried, what: str) -> None:
-        """The answer can't be used, though the framing holds: the attempt failed, and may have run."""
-        self.pool.log.line("engine", f"{self.engine} at {self.where}: {what}")
-        self._write(lines.forget(carried.attempt.query.statement.call))
+    def _unreadable(self, carried: Carried, what: str) -> NoReturn:
+        """An answer that can't be used though its framing holds: the attempt failed, and may have run. What
+        spoilt it spoils the link: nothing that follows on it can be trusted."""
         self._end(carried, Ended(carried.attempt, api.Outcome.ERROR))
+        raise lines.FramingError(what)
 
     def _end(self, carried: Carried, ended: Ended) -> None:
         self._drop(carried.attempt.query.statement.call)
@@ -295,15 +354,17 @@
                         link.close()
 
     def send(self, attempt: Attempt) -> None:
-        for link in self.links.get(attempt.engine, ()):
-            if link.may_carry(attempt):
-                link.send(attempt)
-                return
-        opened = self._open(attempt.engine)
-        if opened is None:
+        link = self._free(attempt, share=False) or self._open(attempt.engine)
+        if link is None and attempt.engine in self.where:  # as many links as the descriptors allow
+            link = self._free(attempt, share=True)
+        if link is None:
             self.inbox.put(Ended(attempt, api.Outcome.CONNECT_FAILED))
         else:
-            opened.send(attempt)
+            link.send(attempt)
+
+    def _free(self, attempt: Attempt, share: bool) -> Link | None:
+        links = self.links.get(attempt.engine, ())
+        return next((link for link in links if link.may_carry(attempt, share)), None)
 
     def undo(self, attempt: Attempt) -> None:
         for link in self.links.get(attempt.engine, ()):
@@ -326,6 +387,8 @@
 
     def _probe_late(self, link: Link, tag: bytes) -> None:
         if probe := link.probes.pop(tag, None):
+            if link.heard_us < probe.sent_us:
+                link.retire()  # the next one asks on a new link, lest a dead one speak for the engine
             self.probe_over(probe, api.Outcome.TIMEOUT)
 
     def probe_over(self, probe: Probe, outcome: api.Outcome, report: api.LoadReport | None = None) -> None:
@@ -353,11 +416,12 @@
             self.links.pop(link.engine, None)
 
     async def _sweep(self) -> None:
-        """Close links that are idle for long, a little before the engine would."""
+        """Look after every link; close those that are idle for long, a little before the engine would."""
         while True:
-            await asyncio.sleep(self.limits.idle_link_s / 30)
-            before = self.now_s() - self.limits.idle_link_s * 0.9
+            await asyncio.sleep(self.limits.watch_s)
+            now_us, before = self.inbox.clock.now_us(), self.now_s() - self.limits.idle_link_s * 0.9
             for link in [k for links in self.links.values() for k in links]:
+                link.look(now_us)
                 gone = link.engine not in self.where
                 if not link.busy and (gone or link.idle_since < before):
                     link.close()
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -28,6 +28,7 @@
     def serve(self, query: "Query", pages: list[Rows]) -> None: ...
     def refuse(self, query: "Query", pause_us: int | None) -> None: ...
     def fail(self, query: "Query", reason: str) -> None: ...
+    def reject(self, query: "Query", reason: str) -> None: ...
 
 
 class Engines(Protocol):
@@ -64,6 +65,7 @@
     engine: str
     sent_us: int
     limit_us: int
+    alone: bool = False  # it may not be repeated: what breaks others' connection should not break its own
     over: bool = False
 
 
@@ -161,10 +163,14 @@
         self.clock = inbox.clock
         self.now = self.clock.now_us()
         self.max_attempts = settings.max_attempts
+        self.once = {c.name for c in settings.classes if c.effect is api.Effect.ONCE}
         self.deadlines = {c.name: c.deadline_us for c in settings.classes}
         self.module = Gateway(settings, seed, self.now)
         self.queries: dict[int, Query] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # without an outcome
+        self.calls: set[bytes] = set()  # ids of open queries
+        self.past, self.past_before = set[bytes](), set[bytes]()  # of those over, of late and before that
+        self.past_until = self.now + limits.call_memory_us
         self.numbered = 0
         self.timers: list[tuple[int, int, Callable[[], None]]] = []
         self.timed = 0
@@ -256,11 +262,19 @@
                     self._give_up(query, "stopped")
 
     def _asked(self, query: Query) -> None:
+        statement = query.statement
+        if self._known(statement.call):
+            query.over = True
+            self.counters.add("queries", "repeated")
+            query.client.reject(query, "field call is that of another query")
+            return
+        self.calls.add(statement.call)
         self.numbered += 1
-        query.number, statement = self.numbered, query.statement
-        ttl_us = None if statement.ttl_ms is None else int(statement.ttl_ms * 1000)
-        if ttl_us is None:
-            ttl_us = self.deadlines.get(statement.class_name, 0)
+        query.number = self.numbered
+        # No client waits longer than its class's deadline, whatever it says.
+        ttl_us = deadline_us = self.deadlines.get(statement.class_name, 0)
+        if statement.ttl_ms is not None:
+            ttl_us = min(deadline_us, int(statement.ttl_ms * 1000))
         query.give_up_us = query.taken_us + ttl_us
         self.queries[query.number] = query
         self.counters.add("queries", "taken")
@@ -279,6 +293,14 @@
             )
         )
 
+    def _known(self, call: bytes) -> bool:
+        """Whether an id is open, or was of late: what an engine still says of the one query, surplus answers
+        too, may not be taken for the other's."""
+        if self.now > self.past_until:
+            self.past, self.past_before = set(), self.past
+            self.past_until = self.now + self.limits.call_memory_us
+        return call in self.calls or call in self.past or call in self.past_before
+
     def _ended(self, ended: Ended) -> None:
         attempt = ended.attempt
         if attempt.over:
@@ -337,6 +359,8 @@
     def _close(self, query: Query, how: str) -> None:
         query.over = True
         self.queries.pop(query.number, None)
+        self.calls.discard(query.statement.call)
+        self.past.add(query.statement.call)
         self.counters.add("queries", how)
 
     # --- What the module asks for.
@@ -371,7 +395,8 @@
             self.log.line("module", f"a send for query {number}, which is over")
             return
         limit = query.give_up_us if timeout_us == 0 else min(query.give_up_us, self.now + timeout_us)
-        attempt = Attempt(query, query.sends, engine, self.now, limit)
+        alone = query.statement.class_name in self.once
+        attempt = Attempt(query, query.sends, engine, self.now, limit, alone)
         query.sends += 1
         query.out[attempt.number] = attempt
         self.attempts[number, attempt.number] = attempt
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -236,6 +236,9 @@
     def fail(self, query: Query, reason: str) -> None:
         self._answer(query, pg.error(pg.FAILED, f"the query failed ({reason}) and may have run") + pg.READY)
 
+    def reject(self, query: Query, reason: str) -> None:
+        self._answer(query, pg.error(pg.BAD_VALUE, reason) + pg.READY)
+
     def cancelled(self) -> None:
         """The client stopped waiting; the module hears that it left."""
         if self.query is not None:
