--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -44,8 +44,8 @@
 class Link:
     """One connection to an engine, from the first try to connect to its end."""
 
-    def __init__(self, pool: "Links", engine: str, where: str) -> None:
-        self.pool, self.engine, self.where = pool, engine, where
+    def __init__(self, pool: "Links", engine: str, where: str, alone: bool) -> None:
+        self.pool, self.engine, self.where, self.alone = pool, engine, where, alone
         self.limits = pool.limits
         self.carried: dict[bytes, Carried] = {}
         self.probes: dict[bytes, Probe] = {}
@@ -60,17 +60,13 @@
     def busy(self) -> bool:
         return bool(self.carried or self.probes)
 
-    @property
-    def alone(self) -> bool:
-        """It carries what may not be repeated."""
-        return next(iter(self.carried.values())).attempt.alone
-
     def may_carry(self, attempt: Attempt, share: bool) -> bool:
-        if not self.carried and self.connection is not None and self.connection.ended():
-            self.retire()  # reset while it was idle: what is put on it would be lost, and may not be repeated
-        if self.closing or len(self.carried) >= self.limits.streams or self in attempt.query.used:
+        if not self.carried:
+            if self.connection is not None and self.connection.ended():
+                self.retire()  # reset while idle: what is put on it would be lost, and may not be repeated
+        elif self.alone and not share:
             return False
-        if not share and self.carried and (attempt.alone or self.alone):
+        if self.closing or len(self.carried) >= self.limits.streams or self in attempt.query.used:
             return False
         stalled = self.connection is not None and self.connection.unsent > self.limits.link_out_bytes
         return not stalled and attempt.query.statement.call not in self.carried
@@ -354,7 +350,7 @@
                         link.close()
 
     def send(self, attempt: Attempt) -> None:
-        link = self._free(attempt, share=False) or self._open(attempt.engine)
+        link = self._free(attempt, share=False) or self._open(attempt.engine, attempt.alone)
         if link is None and attempt.engine in self.where:  # as many links as the descriptors allow
             link = self._free(attempt, share=True)
         if link is None:
@@ -363,20 +359,23 @@
             link.send(attempt)
 
     def _free(self, attempt: Attempt, share: bool) -> Link | None:
-        links = self.links.get(attempt.engine, ())
-        return next((link for link in links if link.may_carry(attempt, share)), None)
+        for link in self.links.get(attempt.engine, ()):
+            if (share or link.alone is attempt.alone) and link.may_carry(attempt, share):
+                return link
+        return None
 
     def undo(self, attempt: Attempt) -> None:
-        for link in self.links.get(attempt.engine, ()):
+        for link in attempt.query.used:
             link.undo(attempt)
 
     def bump(self, attempt: Attempt) -> None:
-        for link in self.links.get(attempt.engine, ()):
+        for link in attempt.query.used:
             link.bump(attempt)
 
     def probe(self, engine: str) -> None:
         probe = Probe(engine, self.inbox.clock.now_us())
-        link = next((k for k in self.links.get(engine, ()) if not k.closing), None) or self._open(engine)
+        usable = (k for k in self.links.get(engine, ()) if not (k.closing or k.alone))
+        link = next(usable, None) or self._open(engine, alone=False)
         if link is None:
             self.probe_over(probe, api.Outcome.CONNECT_FAILED)
             return
@@ -396,14 +395,14 @@
 
     # --- Links come and go.
 
-    def _open(self, engine: str) -> Link | None:
+    def _open(self, engine: str, alone: bool) -> Link | None:
         where = self.where.get(engine)
         if where is None:
             return None
         if sum(map(len, self.links.values())) >= self.limits.engine_connections:
             self.log.line("links", "as many links to engines as the descriptors allow")
             return None
-        link = Link(self, engine, where)
+        link = Link(self, engine, where, alone)
         self.links.setdefault(engine, []).append(link)
         self.counters.add("links", "opened")
         return link
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -31,6 +31,13 @@
     def reject(self, query: "Query", reason: str) -> None: ...
 
 
+class Carrier(Protocol):
+    """A link: an attempt that it does not carry is none of its business."""
+
+    def undo(self, attempt: "Attempt") -> None: ...
+    def bump(self, attempt: "Attempt") -> None: ...
+
+
 class Engines(Protocol):
     """What carries attempts and probes; each gets exactly one end through the queue, never at once."""
 
@@ -55,7 +62,7 @@
     priority: int | None = None  # None: never set
     sends: int = 0
     out: dict[int, "Attempt"] = field(default_factory=dict)
-    used: list[object] = field(default_factory=list)  # links that have carried it: no id runs twice on one
+    used: list["Carrier"] = field(default_factory=list)  # links that have carried it: no id runs twice on one
 
 
 @dataclass(slots=True, eq=False)
