--- a/tests/test_rough_clients.py
+++ b/tests/test_rough_clients.py
@@ -1,12 +1,22 @@
 """The program among clients that stay for good, stay silent, or send what nobody can use."""
 
+import asyncio
+import gc
 import socket
 import struct
 import time
+import weakref
 from contextlib import suppress
 
 import pytest
 
+from whintrail.gateway.clock import Clock
+from whintrail.gateway.counters import Counters
+from whintrail.gateway.limits import Limits
+from whintrail.gateway.log import Log
+from whintrail.gateway.owner import Inbox
+from whintrail.gateway.sessions import Sessions
+
 from .standins import Client, deployment, query
 
 
@@ -87,3 +97,26 @@
             assert time.monotonic() - asked < 1.0
         else:
             pytest.fail(f"{sent} bytes taken from a client that reads no answer")
+
+
+def test_a_session_that_is_over_holds_no_memory_until_a_collection() -> None:
+    async def story() -> None:
+        limits = Limits.read({"settings": {}})
+        sessions = Sessions(limits, Inbox(Clock()), Counters(), Log("test", 5.0, 1.0))
+        ours, theirs = socket.socketpair()
+        sessions._start(ours)
+        ((session, _),) = sessions.sessions.values()
+        left = weakref.ref(session)
+        del session
+        theirs.sendall(Client.startup() + Client.simple(";"))
+        await asyncio.sleep(0.05)
+        assert theirs.recv(4096) and left() is not None
+        theirs.close()
+        await asyncio.sleep(0.05)
+        assert left() is None and not (sessions.sessions or sessions.quiet or sessions.ending)
+
+    gc.disable()
+    try:
+        asyncio.run(story())
+    finally:
+        gc.enable()
--- a/whintrail/gateway/buffer.py
+++ b/whintrail/gateway/buffer.py
@@ -54,3 +54,8 @@
 
     def drop_all(self) -> None:
         self._start = self._end = 0
+
+    def release(self) -> None:
+        """Nothing more is received."""
+        self.drop_all()
+        self._data = bytearray()
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -41,7 +41,7 @@
         self.sock, self.buffer, self.on_sent = sock, buffer, on_sent
         self.loop = asyncio.get_running_loop()
         self._out = bytearray()
-        self._writing = False
+        self._writing = self._closed = False
         self._wake: asyncio.Future[None] | None = None  # set while the writer waits
         self._writer: asyncio.Task[None] | None = None
 
@@ -55,6 +55,8 @@
         return not self._writing
 
     def write(self, data: bytes | bytearray) -> None:
+        if self._closed:
+            return
         self._out += data
         self._writing = True
         if self._wake is not None:
@@ -128,9 +130,14 @@
             self.sock.shutdown(socket.SHUT_WR)
 
     async def close(self) -> None:
-        if self._writer is not None:
+        """Leave nothing that holds memory, nor a circle of references: sessions come by the thousand, and a
+        collection of all that the program holds would stop it for long, so that none is waited for."""
+        writer, self._writer, self.on_sent, self._closed = self._writer, None, None, True
+        if writer is not None:
             self._wake = None
-            self._writer.cancel()
+            writer.cancel()
             with suppress(asyncio.CancelledError):
-                await self._writer
+                await writer
         self.sock.close()
+        self.buffer.release()
+        self._out = bytearray()
