Let a load join the shortest line of its tables, and cut estimates that nobody could serve

A trace of refusals and ends shows two thirds of them refused on arrival for the lines of hot table groups, while those of our own loads stood at 0.3 to 12 s on different engines: _choose drew among all engines with time left, whatever stood in line there. Ruled out: links and resets (5 failed connects, 32 resets of two machines that went), CPU (0.2 of a core). Now a load goes where the least of its group stands in line, drawn by weight among equals.

Also: an estimate of any size was learned into its class's means (_label), so that one client that lies hid what is heavy for 500 queries. Above the deadline's time on its threads, or any engine's memory, it counts as that.

--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -23,6 +23,22 @@
     assert sends(given.ask(100, "load", cost_us=2.0 * SECOND, tables=5))
 
 
+def test_a_load_joins_the_shortest_line_of_its_tables() -> None:
+    given = driver("e1", "e2", "e3", "e4")
+    for number in range(8):
+        given.ask(number, "load", cost_us=2.0 * SECOND, tables=4)
+    placed = [send.engine for send in sends(given.actions)]
+    assert sorted(placed[:4]) == sorted(placed[4:]) == ["e1", "e2", "e3", "e4"]
+
+
+def test_an_estimate_out_of_all_range_says_nothing_of_other_queries() -> None:
+    given = Driver(settings(query_class("long", threads=1), kind_memory_mb={"k8": 1000.0}), engine("e1"))
+    given.learn("long", cost_us=0.1 * SECOND, memory_mb=10.0)
+    given.ask(1, "long", cost_us=1e17, memory_mb=1e17)
+    cls = given.gateway.classes["long"]
+    assert cls.cost.value < 2 * SECOND and cls.memory.value < 100
+
+
 def test_a_line_gets_shorter_as_its_loads_end() -> None:
     given = driver("e1")
     for number in range(20):
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -82,14 +82,13 @@
         self.window = settings.budget_window_us if settings.budget_share is not None else OWN_WINDOW_US
         self.out: dict[tuple[int, int], tuple[Query, Attempt]] = {}  # attempts without an outcome
         self.ready: list[Engine] = []  # engines that the list calls ready, kept in step with it
-        self.phase = self.random.random()  # our turn among the gateways
-        self.whole = Sent()  # what is kept of an engine, of all together
+        self.phase, self.whole = self.random.random(), Sent()  # our turn among gateways; all engines as one
         self.most, self.free = settings.max_open or math.inf, 1.0  # queries open; share of what is kept free
         self.healthy, self.losses = False, Mean()  # some engine is well; share of answers that do not come
         self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
-        self.mean_span_us = 0.0  # cost per thread over all classes
         self.stretch, self.mean_load = 1.0, 0.0  # the fleet's usual latency against the best, and load
+        self.mean_span_us, self.most_mb = 0.0, max(settings.kind_memory_mb.values(), default=math.inf)
         self.fleet = max(1, settings.fleet_size)
         self.share = 1.0 / self.fleet  # of the fleet's work, this gateway's part
 
@@ -128,13 +127,12 @@
     def _label(self, query: Query) -> bool:
         """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
         cls, heavy = query.cls, False
-        if cls.seen >= LEARN_QUERIES:
+        if cls.seen >= LEARN_QUERIES and query.span_us > self.mean_span_us:
             costly = (query.cost_us or 0) > BAR * cls.cost.value
             heavy = costly or (query.memory_mb or 0) > BAR * cls.memory.value
-            heavy = heavy and query.span_us > self.mean_span_us
         cls.seen += 1
-        cls.cost.add(query.cost_us, MEAN_MEMORY)
-        cls.memory.add(query.memory_mb, MEAN_MEMORY)
+        cls.cost.add(query.cost_us, MEAN_MEMORY, cls.settings.deadline_us * query.threads)  # more is a lie,
+        cls.memory.add(query.memory_mb, MEAN_MEMORY, self.most_mb)  # and may not hide what others are
         spans = [(c.work_us / max(1, c.settings.threads), c.seen) for c in self.classes.values()]
         self.mean_span_us = sum(span * seen for span, seen in spans) / sum(seen for _, seen in spans)
         return heavy
@@ -166,12 +164,15 @@
         self._refresh()
         if self.ready and self.sums is None:
             self.sums = list(accumulate(e.weight for e in self.ready))
-        for _ in range(DRAWS if self.ready else 0):
+        for _ in range(DRAWS if self.ready and query.group is None else 0):
             engine = self.random.choices(self.ready, cum_weights=self.sums)[0]
             if engine not in tried and self._takes(query, engine):
                 return engine
         usable = [e for e in self.ready if self._takes(query, e)]
         usable = [e for e in usable if e not in tried] or usable
+        if query.group is not None:  # loads of one group run one by one: each joins the shortest line of ours
+            shortest = min((e.loads[query.group] for e in usable), default=0.0)
+            usable = [e for e in usable if e.loads[query.group] <= shortest + 1]
         return self.random.choices(usable, [e.weight for e in usable])[0] if usable else None
 
     def _takes(self, query: Query, engine: Engine) -> bool:
@@ -220,8 +221,7 @@
         """Its part in the draw: against reported load and our sends since, then what tells of its health."""
         weight = engine.cores * (LOAD_FLOOR + self._load(engine)) ** -DRAW_POWER
         weight *= max(0.02, 1 - engine.errors.now(self.now, ERROR_FADE_US)) ** 4
-        weight *= min(1.0, self.stretch / engine.stretch) ** 2
-        engine.weight = weight * (0.1 if engine.fails else 1.0)
+        engine.weight = weight * min(1.0, self.stretch / engine.stretch) ** 2 * (0.1 if engine.fails else 1.0)
         self.sums = None
 
     def _refresh(self) -> None:
@@ -401,8 +401,7 @@
         if (found := self.out.pop((event.query, event.attempt), None)) is None:
             return  # told late, twice or unasked
         query, attempt = found
-        engine, attempt.outcome = attempt.engine, event.outcome
-        query.out -= 1
+        engine, attempt.outcome, query.out = attempt.engine, event.outcome, query.out - 1
         engine.loads[query.group] -= query.span_us
         for sent in (engine, self.whole):
             sent.threads -= query.threads
@@ -527,10 +526,9 @@
                 engine.state = api.EngineState.GONE
         for entry in event.entries:
             self._entry(entry)
-        gone, ready = api.EngineState.GONE, api.EngineState.READY
-        self.engines = {a: e for a, e in self.engines.items() if e.state is not gone or e.threads}
-        self.ready = [e for e in self.engines.values() if e.state is ready]
-        self.refreshed_at, self.sums = 0, None
+        known = [e for e in self.engines.values() if e.state is not api.EngineState.GONE or e.threads]
+        self.engines, self.refreshed_at, self.sums = {e.address: e for e in known}, 0, None
+        self.ready = [e for e in known if e.state is api.EngineState.READY]
         self._release()
 
     def _entry(self, entry: api.EngineEntry) -> None:
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -19,12 +19,12 @@
     value: float = 0.0
     count: int = 0
 
-    def add(self, value: float | None, memory: int) -> None:
-        """As if over the last so many values; one that is absent tells nothing."""
+    def add(self, value: float | None, memory: int, most: float = math.inf) -> None:
+        """As if over the last so many values, none above `most`; one that is absent tells nothing."""
         if value is None:
             return
         self.count += 1
-        self.value += (value - self.value) / min(self.count, memory)
+        self.value += (min(value, most) - self.value) / min(self.count, memory)
 
 
 @dataclass(slots=True)
