Keep nothing of table groups and ids that clients name

Seen while reading the module beside what clients can send: Engine.loads, a dictionary that makes an entry for whatever is looked up (_expected_us, _has_room), kept one a group and engine for good, and the group is whatever number a statement names; ids of queries that are over were bounded by time alone. Now a group goes with the last load of it, look-ups make none, and at 10,000 ids the older ones go.

--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -31,6 +31,15 @@
     assert sorted(placed[:4]) == sorted(placed[4:]) == ["e1", "e2", "e3", "e4"]
 
 
+def test_table_groups_leave_nothing_behind() -> None:
+    given = driver("e1", "e2")
+    for number in range(50):
+        given.ask(number, "load", cost_us=2.0 * SECOND, tables=1000 + number)
+        given.end(number, api.Outcome.OK, elapsed_us=SECOND)
+        given.ask(100 + number, "load", cost_us=1e12, tables=2000 + number)
+    assert not any(known.loads for known in given.gateway.engines.values())
+
+
 def test_an_estimate_out_of_all_range_says_nothing_of_other_queries() -> None:
     given = Driver(settings(query_class("long", threads=1), kind_memory_mb={"k8": 1000.0}), engine("e1"))
     given.learn("long", cost_us=0.1 * SECOND, memory_mb=10.0)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -157,6 +157,15 @@
     assert not (world.owner.calls or world.owner.past or world.owner.past_before)
 
 
+def test_of_many_ids_only_so_many_are_kept() -> None:
+    async def story(world: World) -> None:
+        world.owner.past.update(b"%d" % number for number in range(world.owner.limits.past_calls))
+        world.owner._known(b"x")
+        assert not world.owner.past and world.owner._known(b"7")
+
+    play(story)
+
+
 def test_no_client_waits_longer_than_its_class() -> None:
     async def story(world: World) -> None:
         query = world.ask(ttl_ms=10**15)
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -171,8 +171,8 @@
         usable = [e for e in self.ready if self._takes(query, e)]
         usable = [e for e in usable if e not in tried] or usable
         if query.group is not None:  # loads of one group run one by one: each joins the shortest line of ours
-            shortest = min((e.loads[query.group] for e in usable), default=0.0)
-            usable = [e for e in usable if e.loads[query.group] <= shortest + 1]
+            shortest = min((e.loads.get(query.group, 0.0) for e in usable), default=0.0)
+            usable = [e for e in usable if e.loads.get(query.group, 0.0) <= shortest + 1]
         return self.random.choices(usable, [e.weight for e in usable])[0] if usable else None
 
     def _takes(self, query: Query, engine: Engine) -> bool:
@@ -186,7 +186,7 @@
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
-        spare = self.free if query.group is None else 1.0 - (self.free < 1 and engine.loads[query.group] > 1)
+        spare = self.free if query.group is None else 1.0 - (self.free < 1 and query.group in engine.loads)
         if query.gated and self._expected_us(query, engine) > spare * (query.due - self.now):
             return False  # it could not finish in time there, or would keep others from reaching us
         if not self._pressed(engine):
@@ -252,7 +252,7 @@
 
     def _expected_us(self, query: Query, engine: Engine | None = None) -> float:
         """As its class fares of late; on a given engine, as that stands against the others."""
-        lines = (e.loads[query.group] for e in ([engine] if engine else self.ready))
+        lines = (e.loads.get(query.group, 0.0) for e in ([engine] if engine else self.ready))
         span = query.span_us + (min(lines, default=0.0) if query.group is not None else 0.0)  # behind ours
         return span * (query.cls.recent.value or 1.0) * (engine.stretch / self.stretch if engine else 1.0)
 
@@ -403,6 +403,8 @@
         query, attempt = found
         engine, attempt.outcome, query.out = attempt.engine, event.outcome, query.out - 1
         engine.loads[query.group] -= query.span_us
+        if engine.loads[query.group] < 1:  # groups are what clients name: none is kept
+            del engine.loads[query.group]
         for sent in (engine, self.whole):
             sent.threads -= query.threads
             sent.heavy_threads -= query.threads if attempt.heavy else 0
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -32,6 +32,7 @@
     log_burst: float  # lines of one kind at once
     log_per_second: float
     open_queries: int  # a client has one open on a connection
+    past_calls: int  # ids of queries that are over
     streams: int
     receives_a_turn: int  # of one client, before all others have had theirs
     messages_a_turn: int
@@ -83,6 +84,7 @@
             log_burst=5.0,
             log_per_second=1.0,
             open_queries=min(int(get(allowed, "MaxOpen", 20_000)), sockets // 3),
+            past_calls=10_000,
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
             receives_a_turn=4,
             messages_a_turn=32,
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -317,7 +317,7 @@
     def _known(self, call: bytes) -> bool:
         """Whether an id is open, or was of late: what an engine still says of the one query, surplus answers
         too, may not be taken for the other's."""
-        if self.now > self.past_until:
+        if self.now > self.past_until or len(self.past) >= self.limits.past_calls:
             self.past, self.past_before = set(), self.past
             self.past_until = self.now + self.limits.call_memory_us
         return call in self.calls or call in self.past or call in self.past_before
