Add the command line, the operator's file, structured logging, a demo and remarks of the module

Need: a newcomer could not start the program, and what is to come has nowhere to be set or shown.

Change: whintrail/cli (click; serve, demo, check; errors in one line, status 2 for files that can't be used), whintrail/config (Jsonnet by rjsonnet into msgspec records; a misspelt name is an error), log lines by structlog as key=value or JSON, Makefile with run and test, the stand-ins out of the tests into whintrail/standins beside a fleet of engines and a load on one loop. The module can tell, beside its actions, why it passed over, rested, held back or left an engine (interface.Remark); off, that costs a test for None where an engine didn't fit.

Line breaks sent by a peer can't make a second log line any more.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# One command to run, one to test.
+.PHONY: run test bench
+
+.venv/.ready: requirements.txt requirements-operator.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
+	touch .venv/.ready
+
+run: .venv/.ready
+	.venv/bin/python -m whintrail demo
+
+test: .venv/.ready
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+	.venv/bin/mypy
+	.venv/bin/python -m pytest -q
+
+bench: .venv/.ready
+	.venv/bin/python -m benchmarks.timers
--- /dev/null
+++ b/deploy/whintrail.jsonnet
@@ -0,0 +1,16 @@
+// The operator's file. Everything here is the default but what is commented out, so all that is new is off.
+// `whintrail check deploy/whintrail.jsonnet --show` prints the settings in force with it.
+{
+  version: 1,
+  logging: { format: 'line', burst: 5, per_second: 1 },
+  // Work that may wait: its share of the loop's time, and the longest slice.
+  background: { share: 0.05, slice_ms: 0.5, waiting: 256 },
+  // What each engine went through; see docs/timeline.md.
+  // timeline: {
+  //   memory_mb: 8,
+  //   raw_s: 300,
+  //   watch: { slow_factor: 2.5, stalled_least_s: 1 },
+  //   store: { directory: '/var/lib/whintrail/timeline', keep_mb: 512, keep_s: 7 * 86400 },
+  //   socket: '/run/whintrail/timeline.sock',
+  // },
+}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from .standins import (
+from whintrail.standins.scripted import (
     PATIENCE_S,
     Client,
     Engine,
@@ -358,7 +358,7 @@
         late.send(query())
         assert early.answer().rows and late.answer().rows
         assert given.gateway.process.wait(PATIENCE_S) == 0
-        assert re.search(r"queries: served=2 taken=2", given.gateway.text())
+        assert re.search(r"event=queries served=2 taken=2", given.gateway.text())
 
 
 def test_sigterm_fails_at_last_what_would_not_end() -> None:
@@ -378,8 +378,8 @@
     with deployment() as given:
         assert given.client().ask(query()).rows
         given.gateway.signal(signal.SIGUSR1)
-        wait_for(lambda: "queries: served=1 taken=1" in given.gateway.text())
-        assert "attempts: ok=1 sent=1" in given.gateway.text()
+        wait_for(lambda: "event=queries served=1 taken=1" in given.gateway.text())
+        assert "event=attempts ok=1 sent=1" in given.gateway.text()
 
 
 def test_a_bad_start_is_one_line_and_a_status(tmp_path: Path) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -16,9 +16,9 @@
 from whintrail.gateway.log import Log
 from whintrail.gateway.owner import Attempt, Ended, Inbox, Listed, Probed, Query
 from whintrail.gateway.statement import read_statement
+from whintrail.standins.scripted import listener
 
 from .helpers import engine
-from .standins import listener
 
 
 class World:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,4 +1,6 @@
-"""Lines of one kind are limited, and say what was held back."""
+"""Lines of one kind are limited, and say what was held back; each is one line, whatever it quotes."""
+
+import json
 
 import pytest
 
@@ -6,13 +8,21 @@
 from whintrail.gateway.log import Log
 
 
+def ends(text: str) -> list[str]:
+    """Lines without their time."""
+    return [line.partition(" ")[2] for line in text.splitlines()]
+
+
 def test_a_kind_has_its_share_of_lines_and_others_have_theirs(capsys: pytest.CaptureFixture[str]) -> None:
     log = Log("n0", burst=2.0, per_second=0.0)
     for number in range(5):
         log.line("engine", f"trouble {number}")
     log.line("bulletin", "other")
-    lines = capsys.readouterr().err.splitlines()
-    assert lines == ["n0: engine: trouble 0", "n0: engine: trouble 1", "n0: bulletin: other"]
+    assert ends(capsys.readouterr().err) == [
+        'gateway=n0 kind=engine event="trouble 0"',
+        'gateway=n0 kind=engine event="trouble 1"',
+        "gateway=n0 kind=bulletin event=other",
+    ]
 
 
 def test_what_was_held_back_is_counted(capsys: pytest.CaptureFixture[str]) -> None:
@@ -21,13 +31,32 @@
     log.line("engine", "two")
     log.per_second = 1e9
     log.line("engine", "three")
-    assert capsys.readouterr().err.splitlines()[-1] == "n0: engine: three (and 1 more like it)"
+    assert ends(capsys.readouterr().err)[-1] == "gateway=n0 kind=engine event=three held_back=1"
+
+
+def test_what_a_peer_sent_can_make_no_line_of_its_own(capsys: pytest.CaptureFixture[str]) -> None:
+    Log("n0", 5.0, 1.0).line("engine", 'a\nkind=program event="serves"')
+    (line,) = capsys.readouterr().err.splitlines()
+    assert "kind=engine" in line and "\\n" in line
+
+
+def test_json_lines_hold_the_same_fields(capsys: pytest.CaptureFixture[str]) -> None:
+    Log("n0", 5.0, 1.0, as_json=True).line("engine", "slow\n", engine="s-12", factor=2.5)
+    (line,) = capsys.readouterr().err.splitlines()
+    found = json.loads(line)
+    assert list(found)[:4] == ["at", "gateway", "kind", "event"]
+    assert (found["kind"], found["event"], found["engine"], found["factor"]) == (
+        "engine",
+        "slow\n",
+        "s-12",
+        2.5,
+    )
 
 
-def test_counters_are_a_line_a_group() -> None:
+def test_counters_are_a_line_a_group(capsys: pytest.CaptureFixture[str]) -> None:
     counters = Counters()
     counters.add("queries", "taken", 2)
     counters.add("queries", "served")
     counters.add("probes", "ok")
-    assert counters.lines() == ["probes: ok=1", "queries: served=1 taken=2"]
+    assert counters.groups() == [("probes", {"ok": 1}), ("queries", {"served": 1, "taken": 2})]
     assert counters["queries", "failed"] == 0
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .standins import Bulletin, Deployment, Engine, deployment, query, wait_for
+from whintrail.standins.scripted import Bulletin, Deployment, Engine, deployment, query, wait_for
 
 
 def reload(given: Deployment, text: str) -> None:
@@ -40,7 +40,7 @@
             count = len(first.done)
             assert all(client.ask(query()).rows for _ in range(5))
             assert len(first.done) == count
-            assert "configuration: taken" in given.gateway.text()
+            assert 'kind=configuration event="taken' in given.gateway.text()
         finally:
             new.close()
 
@@ -49,7 +49,7 @@
 def test_a_configuration_that_cant_be_used_leaves_the_old_one_in_force(text: str) -> None:
     with deployment(Engine("s-1")) as given:
         reload(given, text)
-        wait_for(lambda: "configuration: the old one stays in force" in given.gateway.text())
+        wait_for(lambda: 'kind=configuration event="the old one stays in force' in given.gateway.text())
         given.bulletin.publish(given.engines[0].entry("leaving"))
         wait_for(lambda: given.client().ask(query(ttl=300)).sqlstate)  # the old bulletin is still heard
 
--- a/tests/test_rough_clients.py
+++ b/tests/test_rough_clients.py
@@ -16,8 +16,7 @@
 from whintrail.gateway.log import Log
 from whintrail.gateway.owner import Inbox
 from whintrail.gateway.sessions import Sessions
-
-from .standins import Client, deployment, query
+from whintrail.standins.scripted import Client, deployment, query
 
 
 def test_clients_that_ask_once_and_stay_make_way_for_new_ones() -> None:
--- a/whintrail/__main__.py
+++ b/whintrail/__main__.py
@@ -1,7 +1,12 @@
-"""Starts the gateway: python -m whintrail."""
+"""`python -m whintrail` serves from RELAY_CONFIG; with a sub-command it is the command line."""
 
 import sys
 
-from whintrail.gateway.service import main
+if len(sys.argv) > 1:
+    from whintrail import cli
 
-sys.exit(main())
+    sys.exit(cli.main())
+else:  # serving imports nothing that it doesn't need
+    from whintrail.gateway import service
+
+    sys.exit(service.main())
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -45,6 +45,7 @@
 SWEEP_US, WATCH_US = 100_000, 1_000_000  # housekeeping pace; pause before a failed list call is made again
 REFRESH_US, DRAWS = 200_000, 3  # weights are at most so old; draws before all engines are looked through
 TOLD_MOST, TOLD_MEMORY, GRANT = 10.0, 20, 1.25  # what answers tell: at most, over so many; memory over that
+MOST_REMARKS = 256  # for one event: a held query may ask every engine
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
 
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
@@ -73,6 +74,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.settings, self.random, self.now = settings, Random(seed), now
         self.actions: list[api.Action] = []
+        self.remarks: list[api.Remark] | None = None  # a list: tell why; whoever keeps a record empties it
         self.classes = {c.name: ClassState(c, high=HIGH_FIRST) for c in settings.classes}
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
@@ -182,7 +184,24 @@
         else:
             failing = self.healthy and engine.errors.now(self.now, ERROR_FADE_US) >= ERRORS_MOST
             rests = self.now < engine.full_until or failing
-        return not rests and self._engine_may(query, engine) and self._has_room(query, engine)
+        fits = not rests and self._engine_may(query, engine) and self._has_room(query, engine)
+        if not fits and self.remarks is not None:
+            self._remark(engine, self._why_not(query, engine, rests), query)
+        return fits
+
+    def _remark(self, engine: Engine, reason: api.Reason, query: Query | None = None) -> None:
+        if self.remarks is not None and len(self.remarks) < MOST_REMARKS:
+            self.remarks.append(api.Remark(engine.address, reason, query.id if query else None))
+
+    def _why_not(self, query: Query, engine: Engine, rests: bool) -> api.Reason:
+        """Which condition of `_takes` does not hold; asked only where remarks are wanted."""
+        if rests:
+            full = api.Reason.FULL if self.now < engine.full_until else api.Reason.SHUT_OUT
+            return api.Reason.RESTS if engine.fails else full
+        if self._engine_may(query, engine):
+            return api.Reason.NO_ROOM
+        cold = self.now < engine.cold_until and not self._cold_room(query, engine)
+        return api.Reason.COLD if cold else api.Reason.NOT_PLACED
 
     def _has_room(self, query: Query, engine: Engine) -> bool:
         """The bound on heavy threads under pressure; a wider one keeps light queries from feeding a jam."""
@@ -448,6 +467,7 @@
         elif outcome is api.Outcome.FULL:
             rest = min(DOWN_MOST_US, FULL_REST_US << min(engine.fulls, 4))  # it may hang, or all come at once
             engine.full_until, engine.fulls, engine.alive_at = self.now + rest, engine.fulls + 1, self.now
+            self._remark(engine, api.Reason.RESTED_FULL)
         elif outcome is api.Outcome.ERROR:
             self._count(engine, 1.0, 0.0)
 
@@ -476,6 +496,7 @@
         if self.now >= engine.down_until:
             engine.fails += 1
             engine.down_until = self.now + min(DOWN_MOST_US, DOWN_US << min(engine.fails - 1, 4))
+            self._remark(engine, api.Reason.RESTED)
         for query, attempt in list(self.out.values()):
             if attempt.engine is engine:
                 self._elsewhere(query, attempt)
@@ -487,6 +508,7 @@
         if s.cancel_allowed and room and not attempt.cancelled and self._budget_left():
             self._cancel(query, attempt)
             attempt.moving = True
+            self._remark(attempt.engine, api.Reason.MOVED, query)
 
     @_on.register
     def _noted(self, event: api.AttemptNote) -> None:
@@ -537,6 +559,8 @@
         if (engine := self.engines.get(entry.engine)) is None:
             engine = self.engines[entry.engine] = Engine(address=entry.engine, busy_at=BUSY_HELD)
             engine.probe_at = self.now - int(self.random.random() * PROBE_WANTED_US)
+        if engine.state is api.EngineState.READY and entry.state is not api.EngineState.READY:
+            self._remark(engine, api.Reason.DRAINED)
         engine.kind, engine.zone, engine.cell, engine.state = entry.kind, entry.zone, entry.cell, entry.state
         engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
         if entry.started_us is not None:
--- /dev/null
+++ b/whintrail/cli/check.py
@@ -0,0 +1,31 @@
+"""`whintrail check`."""
+
+import click
+import msgspec
+
+from whintrail.config import OperatorFileError, read_operator_file
+
+
+class BadFile(click.ClickException):
+    exit_code = 2
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--show", is_flag=True, help="Print the settings in force with this file, as JSON.")
+def check(file: str, show: bool) -> int:
+    """Check an operator's file as the start and SIGHUP do. Status 2 where it can't be used.
+
+    \b
+    Example:
+      whintrail check deploy/whintrail.jsonnet --show
+    """
+    try:
+        given = read_operator_file(file)
+    except OperatorFileError as error:
+        raise BadFile(str(error)) from error
+    if show:
+        click.echo(msgspec.json.format(msgspec.json.encode(given), indent=2).decode())
+    else:
+        click.echo(f"{file}: can be used; the time line is {'off' if given.timeline is None else 'on'}")
+    return 0
--- /dev/null
+++ b/whintrail/cli/demo.py
@@ -0,0 +1,84 @@
+"""`whintrail demo`: the gateway with stand-in engines on loopback, so that it can be tried at once."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from whintrail.standins.fleet import Fleet
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+async def _run(engines: int, port: int, operator_file: str | None, seconds: float | None) -> int:
+    fleet = Fleet(engines)
+    port = port or _free_port()
+    with tempfile.TemporaryDirectory(prefix="whintrail-") as folder:
+        path = Path(folder, "config.json")
+        path.write_text(json.dumps(fleet.config(f"127.0.0.1:{port}")))
+        environment = {**os.environ, "RELAY_CONFIG": str(path)}
+        if operator_file:
+            environment["WHINTRAIL_FILE"] = operator_file
+        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "whintrail", env=environment)
+        loop, stop = asyncio.get_running_loop(), asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, stop.set)
+        ended = loop.create_task(process.wait())
+        stopping = loop.create_task(stop.wait())
+        try:
+            if await _serves(port, ended):
+                click.echo(f"{engines} stand-in engines behind a gateway on 127.0.0.1:{port}. Ask it:")
+                click.echo(
+                    f'  psql "host=127.0.0.1 port={port} user=app dbname=dw sslmode=disable" -c'
+                    ' "/* op=lookup,call=9b1f03aa5c7e2d41,ttl=4000 */ SELECT day FROM sales_17.orders"'
+                )
+                click.echo("Every query needs a call of its own (16 hex digits). Ctrl-C ends it.")
+                await asyncio.wait([ended, stopping], timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            if not ended.done():
+                process.send_signal(signal.SIGTERM)
+            code = await ended
+            stopping.cancel()
+            await fleet.close()
+    return code
+
+
+async def _serves(port: int, ended: "asyncio.Task[int]") -> bool:
+    from whintrail.standins.load import LoadClient
+
+    while not ended.done():
+        client = LoadClient(port)
+        try:
+            await client.open()
+            return True
+        except OSError:
+            await asyncio.sleep(0.05)
+        finally:
+            client.close()
+    return False
+
+
+@click.command()
+@click.option("--engines", type=click.IntRange(1, 200), default=4, show_default=True)
+@click.option("--port", type=click.IntRange(0, 65535), default=0, help="0: any that is free.")
+@click.option("--file", "operator_file", type=click.Path(dir_okay=False), help="The operator's file.")
+@click.option("--seconds", type=float, help="End by itself after so long.")
+def demo(engines: int, port: int, operator_file: str | None, seconds: float | None) -> int:
+    """Start a gateway on loopback with stand-in engines and a sample configuration.
+
+    \b
+    Example:
+      whintrail demo --engines 8 --port 5433
+    """
+    return asyncio.run(_run(engines, port, operator_file, seconds))
--- /dev/null
+++ b/whintrail/config/reading.py
@@ -0,0 +1,58 @@
+"""Reads and checks the operator's file; every error names the file, the place in it and the reason."""
+
+import os
+from collections.abc import Mapping
+
+import msgspec
+import rjsonnet
+
+from whintrail.config.records import OperatorFile
+
+VARIABLE = "WHINTRAIL_FILE"
+MOST_BYTES = 1 << 20
+
+
+class OperatorFileError(ValueError):
+    """The file can't be used. The text is one line."""
+
+
+def _one_line(text: object) -> str:
+    return "; ".join(part.strip() for part in str(text).splitlines() if part.strip())
+
+
+def read_operator_file(path: str, variables: Mapping[str, str] | None = None) -> OperatorFile:
+    """The records of the file at `path`. Errors: OperatorFileError.
+
+    `variables` are the template's external ones (`std.extVar`), as in Jsonnet's language reference.
+    """
+    try:
+        if os.stat(path).st_size > MOST_BYTES:
+            raise OperatorFileError(f"{path}: larger than {MOST_BYTES} bytes")
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorFileError(f"{path}: {_one_line(error)}") from error
+    try:
+        data = rjsonnet.evaluate_snippet(path, text, ext_vars=dict(variables or {}))
+    except Exception as error:  # the binding raises its own kinds, and RuntimeError
+        raise OperatorFileError(f"{path}: {_one_line(error)}") from error
+    try:
+        given: OperatorFile = msgspec.json.decode(data, type=OperatorFile)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at ")
+        raise OperatorFileError(f"{path}: {place.strip('`') or '$'}: {_one_line(reason)}") from error
+    _agree(path, given)
+    return given
+
+
+def _agree(path: str, given: OperatorFile) -> None:
+    """What no single value shows: values that contradict one another."""
+    timeline = given.timeline
+    if timeline is None or timeline.store is None:
+        return
+    store = timeline.store
+    if store.keep_mb < 2 * store.segment_mb:
+        raise OperatorFileError(
+            f"{path}: $.timeline.store.keep_mb: {store.keep_mb:g} holds fewer than two segments"
+            f" of {store.segment_mb:g} MB: the one that is written could not be kept"
+        )
--- /dev/null
+++ b/whintrail/config/records.py
@@ -0,0 +1,63 @@
+"""What an operator may set, with the bounds of every value. Names and units are those of the file.
+
+A misspelt name is an error, never a setting that silently does nothing.
+"""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+Share = Annotated[float, Meta(gt=0.0, le=0.5)]
+Seconds = Annotated[float, Meta(gt=0.0, le=86_400.0 * 366)]
+
+
+class Logging(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    format: Literal["line", "json"] = "line"
+    burst: Annotated[float, Meta(ge=1.0, le=1000.0)] = 5.0  # lines of one kind at once
+    per_second: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
+
+
+class Background(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Work that may wait: what it may take of the loop, and how much of it may wait."""
+
+    share: Share = 0.05
+    slice_ms: Annotated[float, Meta(ge=0.1, le=1.0)] = 0.5
+    waiting: Annotated[int, Meta(ge=1, le=100_000)] = 256  # jobs; more are shed, the least urgent first
+
+
+class Watch(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """When the judge calls an engine's behaviour unusual. Higher thresholds: later and fewer alarms."""
+
+    stalled_evidence: Annotated[float, Meta(ge=3.0, le=100.0)] = 14.0  # -ln of the chance that it is well
+    stalled_least_s: Seconds = 1.0
+    slow_factor: Annotated[float, Meta(ge=1.2, le=100.0)] = 2.5  # against itself before, and its peers
+    slow_evidence: Annotated[float, Meta(ge=3.0, le=1000.0)] = 12.0  # the CUSUM's threshold
+    failing_share: Annotated[float, Meta(ge=0.05, le=1.0)] = 0.3
+    flapping_turns: Annotated[int, Meta(ge=2, le=100)] = 3
+    flapping_within_s: Seconds = 60.0
+
+
+class Store(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    directory: Annotated[str, Meta(min_length=1)]
+    fsync: Literal["never", "interval", "always"] = "interval"
+    fsync_every_s: Seconds = 5.0
+    flush_every_s: Seconds = 2.0
+    segment_mb: Annotated[float, Meta(ge=0.01, le=1024.0)] = 16.0
+    keep_mb: Annotated[float, Meta(ge=0.02, le=1_000_000.0)] = 512.0
+    keep_s: Seconds = 7 * 86_400.0
+
+
+class Timeline(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    memory_mb: Annotated[float, Meta(ge=0.25, le=1024.0)] = 8.0  # over all engines, come and gone
+    raw_s: Seconds = 300.0  # raw events at most so old
+    watch: Watch = Watch()
+    store: Store | None = None
+    socket: Annotated[str, Meta(min_length=1, max_length=100)] | None = None  # of the live view
+    followers: Annotated[int, Meta(ge=1, le=64)] = 8
+
+
+class OperatorFile(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    version: Literal[1] = 1
+    logging: Logging = Logging()
+    background: Background = Background()
+    timeline: Timeline | None = None  # absent: off
--- a/whintrail/gateway/counters.py
+++ b/whintrail/gateway/counters.py
@@ -16,9 +16,6 @@
         group, name = key
         return self._groups.get(group, {}).get(name, 0)
 
-    def lines(self) -> list[str]:
-        """A line a group: `queries: served=12 refused=1`."""
-        return [
-            f"{group}: " + " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
-            for group, counts in sorted(self._groups.items())
-        ]
+    def groups(self) -> list[tuple[str, dict[str, int]]]:
+        """Groups and their counts, both by name."""
+        return [(group, dict(sorted(counts.items()))) for group, counts in sorted(self._groups.items())]
--- a/whintrail/gateway/log.py
+++ b/whintrail/gateway/log.py
@@ -1,15 +1,45 @@
-"""Lines on standard error, at most so many a second for each kind of trouble."""
+"""Structured lines on standard error, at most so many a second for each kind of trouble."""
 
 import sys
 import time
+from collections.abc import MutableMapping
+from typing import Any
+
+import orjson
+import structlog
+
+ORDER = ("at", "gateway", "kind", "event")
+
+
+def _stamp(_: Any, __: str, line: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    now = time.time()
+    line["at"] = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now)) + f".{int(now % 1 * 1000):03d}Z"
+    return line
+
+
+def _json(_: Any, __: str, line: MutableMapping[str, Any]) -> str:
+    rest = {key: value for key, value in line.items() if key not in ORDER}
+    first = {key: line[key] for key in ORDER if key in line}
+    return orjson.dumps({**first, **rest}, default=str).decode()
+
+
+_line = structlog.processors.LogfmtRenderer(key_order=ORDER, drop_missing=True, bool_as_flag=False)
 
 
 class Log:
-    def __init__(self, name: str, burst: float, per_second: float) -> None:
-        self.name, self.burst, self.per_second = name, burst, per_second
+    """One line a call: key=value, or JSON. A line break in a value never makes a second line.
+
+    `burst` lines of one kind at once, then `per_second`; lines held back are counted with the next.
+    """
+
+    def __init__(self, name: str, burst: float, per_second: float, as_json: bool = False) -> None:
+        self.burst, self.per_second = burst, per_second
         self._kinds: dict[str, tuple[float, float, int]] = {}  # kind: (allowance, at, lines held back)
+        self._out = structlog.wrap_logger(
+            structlog.PrintLogger(sys.stderr), processors=[_stamp, _json if as_json else _line], gateway=name
+        )
 
-    def line(self, kind: str, text: str) -> None:
+    def line(self, kind: str, text: str, **fields: object) -> None:
         """Print the text unless this kind has had its share; then say how many were held back."""
         now = time.monotonic()
         allowance, at, held = self._kinds.get(kind, (self.burst, now, 0))
@@ -18,11 +48,12 @@
             self._kinds[kind] = (allowance, now, held + 1)
             return
         self._kinds[kind] = (allowance - 1.0, now, 0)
-        self.always(f"{kind}: {text}" + (f" (and {held} more like it)" if held else ""))
+        self.always(text, kind, **fields, **({"held_back": held} if held else {}))
 
-    def always(self, text: str) -> None:
-        say(self.name, text)
+    def always(self, text: str, kind: str = "program", **fields: object) -> None:
+        self._out.msg(text, kind=kind, **fields)
 
 
 def say(name: str, text: str) -> None:
-    print(f"{name}: {text}", file=sys.stderr, flush=True)
+    """A line before there is a configuration, and so a log."""
+    Log(name, 1.0, 1.0).always(text)
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -23,6 +23,9 @@
 from whintrail.interface import ReportsBy
 from whintrail.settings import get, read_report, read_settings
 
+if TYPE_CHECKING:
+    from whintrail.config import OperatorFile
+
 NAME = "whintrail"  # until the configuration gives one
 
 
@@ -45,14 +48,30 @@
     return {**config, "listen": listen, "name": environment.get("RELAY_NAME") or config.get("name")}
 
 
+def read_operator(environment: Mapping[str, str]) -> "OperatorFile | None":
+    """The operator's file, where the environment names one; what reads it is imported only then."""
+    path = environment.get("WHINTRAIL_FILE")
+    if not path:
+        return None
+    try:
+        from whintrail.config import OperatorFileError, read_operator_file
+    except ModuleNotFoundError as error:
+        raise StartError(f"an operator's file needs {error.name}: see requirements-operator.txt") from error
+    try:
+        return read_operator_file(path)
+    except OperatorFileError as error:
+        raise StartError(str(error)) from error
+
+
 class Service:
     def __init__(self, config: Mapping[str, Any], environment: Mapping[str, str]) -> None:
         self.environment = environment
         self.counters = Counters()
+        self.operator = read_operator(environment)
         try:
             self.limits = Limits.read(config)
-            name = str(get(config, "name", NAME))
-            self.log = Log(name, self.limits.log_burst, self.limits.log_per_second)
+            self.name = str(get(config, "name", NAME))
+            self.log = self._open_log(self.name)
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
@@ -67,13 +86,20 @@
         self.owner = Owner(settings, seed, self.limits, self.inbox, self.links, self.counters, self.log)
         self.stopping = asyncio.Event()
 
+    def _open_log(self, name: str) -> Log:
+        if self.operator is None:
+            return Log(name, self.limits.log_burst, self.limits.log_per_second)
+        logging = self.operator.logging
+        return Log(name, logging.burst, logging.per_second, logging.format == "json")
+
     def print_counters(self) -> None:
-        for line in self.counters.lines():
-            self.log.always(line)
+        for group, counts in self.counters.groups():
+            self.log.always(group, "counters", **counts)
 
     def reload(self) -> None:
-        """Take up a new configuration: the bulletin's address. All else stays as it was at the start; a
-        configuration that can't be used changes nothing."""
+        """Take up a new configuration: the bulletin's address, and the operator's file. All else stays as it
+        was at the start; a file that can't be used changes nothing."""
+        self._reload_operator()
         try:
             where = address(read_config(self.environment)["bulletin"])
         except (StartError, KeyError, TypeError, ValueError, AttributeError) as error:
@@ -84,6 +110,18 @@
         self.log.line("configuration", f"taken, bulletin at {where[0]}:{where[1]}")
         self.bulletin.move(where)
 
+    def _reload_operator(self) -> None:
+        try:
+            given = read_operator(self.environment)
+        except StartError as error:
+            self.counters.add("configuration", "refused")
+            self.log.line("configuration", f"the old operator's file stays in force: {error}")
+            return
+        if given != self.operator:
+            self.operator = given
+            self.log = self._open_log(self.name)
+            self.log.line("configuration", "operator's file taken")
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/whintrail/interface.py
+++ b/whintrail/interface.py
@@ -70,6 +70,30 @@
     NONE = "none"
 
 
+class Reason(Enum):
+    """Why an engine was, or was not, given something: told for a record, beside the actions."""
+
+    RESTS = "passed over: it rests"
+    FULL = "passed over: it was full"
+    SHUT_OUT = "shut out: it fails too many"
+    COLD = "held back as cold"
+    NO_ROOM = "passed over: no room, or too late there"
+    NOT_PLACED = "passed over: the class may not go there"
+    RESTED = "rested: it failed us"
+    RESTED_FULL = "rested: it refused as full"
+    MOVED = "moved away from"
+    DRAINED = "drained: nothing new"
+
+
+@dataclass(slots=True)
+class Remark:
+    """A decision about an engine that no action shows."""
+
+    engine: str
+    reason: Reason
+    query: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class QueryClass:
     name: str
--- /dev/null
+++ b/whintrail/standins/load.py
@@ -0,0 +1,110 @@
+"""Clients on one loop: a stated rate of queries in the PostgreSQL protocol, and what came of them."""
+
+import asyncio
+import socket
+import struct
+from collections import Counter
+from random import Random
+from time import perf_counter
+
+
+def startup() -> bytes:
+    body = struct.pack("!I", 3 << 16) + b"user\0app\0database\0dw\0\0"
+    return struct.pack("!I", len(body) + 4) + body
+
+
+class LoadClient:
+    """One session that is used again and again."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.sock: socket.socket | None = None
+        self.chunk = bytearray(65_536)
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        await loop.sock_connect(self.sock, ("127.0.0.1", self.port))
+        await loop.sock_sendall(self.sock, startup())
+        await self._until_ready()
+
+    async def _until_ready(self) -> bytes:
+        """All messages up to ReadyForQuery."""
+        loop, data = asyncio.get_running_loop(), bytearray()
+        assert self.sock is not None
+        while True:
+            count = await loop.sock_recv_into(self.sock, self.chunk)
+            if not count:
+                raise ConnectionError("the gateway closed")
+            data += memoryview(self.chunk)[:count]
+            if data[-6:-1] == b"Z\0\0\0\5":
+                return bytes(data)
+
+    async def ask(self, text: str) -> str:
+        """`served`, or the SQLSTATE."""
+        loop = asyncio.get_running_loop()
+        if self.sock is None:
+            await self.open()
+        assert self.sock is not None
+        body = text.encode() + b"\0"
+        await loop.sock_sendall(self.sock, b"Q" + struct.pack("!I", len(body) + 4) + body)
+        data = await self._until_ready()
+        if (at := data.find(b"SERROR\0")) >= 0:
+            at = data.index(b"C", at + 7)
+            return data[at + 1 : at + 6].decode()
+        return "served"
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+
+class Load:
+    """Open-loop arrivals at `rate` a second (Poisson); `mix` holds (class, cost in ms, weight)."""
+
+    def __init__(self, port: int, rate: float, mix: list[tuple[str, float, float]], seed: int = 1) -> None:
+        self.port, self.rate, self.mix = port, rate, mix
+        self.random = Random(seed)
+        self.free: list[LoadClient] = []
+        self.ends: Counter[str] = Counter()
+        self.latencies: list[float] = []
+        self.asked = 0
+        self.open: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float, ttl_ms: int = 6000) -> None:
+        start = due = perf_counter()
+        while due < start + seconds:
+            due += self.random.expovariate(self.rate)
+            if (wait := due - perf_counter()) > 0.0005:
+                await asyncio.sleep(wait)
+            task = asyncio.get_running_loop().create_task(self._ask(ttl_ms))
+            self.open.add(task)
+            task.add_done_callback(self.open.discard)
+        if self.open:
+            await asyncio.wait(self.open, timeout=ttl_ms / 1000 + 1)
+
+    async def _ask(self, ttl_ms: int) -> None:
+        name, cost, _ = self.random.choices(self.mix, [weight for *_, weight in self.mix])[0]
+        self.asked += 1
+        call = f"{self.random.getrandbits(64):016x}"
+        client = self.free.pop() if self.free else LoadClient(self.port)
+        started = perf_counter()
+        try:
+            end = await client.ask(
+                f"/* op={name},call={call},ttl={ttl_ms},work={cost:.1f},memory=8 */"
+                f" SELECT 1 FROM sales_{self.random.randrange(50)}.t -- cost={cost}"
+            )
+            self.free.append(client)
+        except OSError:
+            client.close()
+            end = "lost"
+        self.ends[end] += 1
+        if end == "served":
+            self.latencies.append(perf_counter() - started)
+
+    def close(self) -> None:
+        for client in self.free:
+            client.close()
+        self.free.clear()
--- a/tests/standins.py
+++ b/whintrail/standins/scripted.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parent.parent.parent
 PATIENCE_S = 15.0  # longer than anything here takes on a busy machine
 CLASSES: list[dict[str, Any]] = [
     {"Name": "lookup", "Effect": "repeatable", "Group": "all"},
--- /dev/null
+++ b/whintrail/structures/sketch.py
@@ -0,0 +1,94 @@
+"""A mergeable quantile sketch with a bounded relative error.
+
+After Masson, Rim and Lee, "DDSketch: a fast and fully-mergeable quantile sketch with relative-error
+guarantees" (VLDB 2019). Values fall into bins whose bounds grow by a constant factor, so a quantile is right
+to that factor whatever the distribution, and merging adds the bins. Sparse: only bins that hold something.
+"""
+
+from math import ceil, exp, log
+
+ACCURACY = 0.02
+GAMMA = (1 + ACCURACY) / (1 - ACCURACY)
+SCALE = 1 / log(GAMMA)
+LEAST = 1e-3  # of what is told apart from zero; shared with the encoded form
+OFFSET = ceil(log(LEAST) * SCALE)
+MOST_BIN = 0x3FFF
+
+
+class SketchError(ValueError):
+    """The bytes are no encoded sketch."""
+
+
+class Sketch:
+    """Counts by bin. Values are not negative; any unit, one a sketch."""
+
+    __slots__ = ("bins", "count")
+
+    def __init__(self) -> None:
+        self.bins: dict[int, int] = {}
+        self.count = 0
+
+    def add(self, value: float) -> None:
+        index = ceil(log(value) * SCALE) - OFFSET if value > LEAST else 0
+        bins = self.bins
+        bins[index] = bins.get(index, 0) + 1
+        self.count += 1
+
+    def merge(self, other: "Sketch") -> None:
+        for index, count in other.bins.items():
+            self.bins[index] = self.bins.get(index, 0) + count
+        self.count += other.count
+
+    def quantile(self, share: float) -> float:
+        """The value below which that share lies, right to 2%; 0.0 for an empty sketch."""
+        if not self.count:
+            return 0.0
+        rank, seen = share * (self.count - 1), 0
+        for index in sorted(self.bins):
+            seen += self.bins[index]
+            if seen > rank:
+                return 0.0 if index == 0 else 2 * exp((index + OFFSET) / SCALE) / (GAMMA + 1)
+        raise AssertionError("bins hold fewer than were counted")
+
+    def encode(self) -> bytes:
+        """Gaps between bins and their counts as varints: about two bytes a bin."""
+        out, before = bytearray(), 0
+        for index in sorted(self.bins):
+            _put(out, min(index, MOST_BIN) - before)
+            _put(out, self.bins[index])
+            before = min(index, MOST_BIN)
+        return bytes(out)
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Sketch":
+        """Errors: SketchError."""
+        sketch, at, index = cls(), 0, 0
+        while at < len(data):
+            gap, at = _get(data, at)
+            count, at = _get(data, at)
+            index += gap
+            if index > MOST_BIN or not count:
+                raise SketchError(f"bin {index} with {count}")
+            sketch.bins[index] = sketch.bins.get(index, 0) + count
+            sketch.count += count
+        return sketch
+
+
+def _put(out: bytearray, value: int) -> None:
+    while value > 0x7F:
+        out.append(value & 0x7F | 0x80)
+        value >>= 7
+    out.append(value)
+
+
+def _get(data: bytes, at: int) -> tuple[int, int]:
+    value = shift = 0
+    while True:
+        if at >= len(data) or shift > 35:
+            raise SketchError("cut short")
+        byte = data[at]
+        at += 1
+        value |= (byte & 0x7F) << shift
+        if byte < 0x80:
+            return value, at
+        shift += 7
