--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,270 @@
+"""The time line of the program as it runs: over sockets, its files, its live view, its command line."""
+
+import asyncio
+import csv
+import io
+import json
+import os
+import signal
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from whintrail import interface as api
+from whintrail.cli import main
+from whintrail.gateway.counters import Counters
+from whintrail.standins.scripted import Deployment, Engine, query, wait_for
+from whintrail.timeline.core import Timeline
+from whintrail.timeline.judge import Thresholds
+from whintrail.timeline.kinds import Happening, Kind, Verdict
+from whintrail.timeline.live import QUEUE, Live
+from whintrail.timeline.store import Reader
+
+from .helpers import engine
+
+SECOND = 1_000_000
+
+
+@contextmanager
+def program(folder: Path, *engines: Engine, **timeline: object) -> Iterator[Deployment]:
+    """A gateway with an operator's file in its environment."""
+    path = folder / "whintrail.json"
+    path.write_text(json.dumps({"timeline": timeline}))
+    os.environ["WHINTRAIL_FILE"] = str(path)
+    try:
+        given = Deployment(folder, list(engines), 256)
+    finally:
+        del os.environ["WHINTRAIL_FILE"]
+    try:
+        yield given
+    finally:
+        given.end()
+
+
+def stop(given: Deployment) -> None:
+    given.gateway.signal(signal.SIGTERM)
+    assert given.gateway.process.wait(15) == 0
+
+
+def test_every_send_and_its_end_stand_in_the_store_after_the_end(tmp_path: Path) -> None:
+    one, two = Engine("s-1"), Engine("s-2")
+    store = {"directory": str(tmp_path / "store"), "flush_every_s": 0.1}
+    with program(tmp_path, one, two, store=store) as given:
+        client = given.client()
+        for _ in range(40):
+            assert client.ask(query()).rows
+        given.bulletin.publish(two.entry("leaving"))
+        time.sleep(0.3)
+        stop(given)
+        assert "event=timeline" in given.gateway.text()
+    with Reader.open(tmp_path / "store") as reader:
+        for each in (one, two):
+            rows = list(reader.rows(each.name))
+            assert sum(row.kind is Kind.SENT for row in rows) == len(each.done)
+            assert sum(row.kind is Kind.ENDED for row in rows) == len(each.done)
+        whats = [row.describe(reader.classes) for row in reader.rows("s-2")]
+    assert "listed as draining" in whats and any("drained" in what for what in whats)
+    assert len(one.done) + len(two.done) == 40
+    assert main(["timeline", "verify", "--store", str(tmp_path / "store")]) == 0
+
+
+def test_a_store_that_cannot_be_had_is_an_event_and_the_gateway_serves(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with program(tmp_path, Engine(), store={"directory": str(tmp_path / "file")}) as given:
+        assert given.client().ask(query()).rows
+        assert "the store is off" in given.gateway.text()
+
+
+def test_a_bad_operators_file_at_the_start_and_on_sighup(tmp_path: Path) -> None:
+    path = tmp_path / "whintrail.json"
+    with program(tmp_path, Engine(), memory_mb=1) as given:
+        path.write_text('{"timeline": {"memory_mb": "much"}}')
+        given.gateway.signal(signal.SIGHUP)
+        wait_for(lambda: "the old operator's file stays in force" in given.gateway.text())
+        assert "$.timeline.memory_mb" in given.gateway.text()
+        assert given.client().ask(query()).rows
+        path.write_text('{"logging": {"format": "json"}, "timeline": {"memory_mb": 1}}')
+        given.gateway.signal(signal.SIGHUP)
+        wait_for(lambda: '"event":"operator\'s file taken' in given.gateway.text())
+        assert given.client().ask(query()).rows
+
+
+def test_the_live_view_shows_engines_and_rows_and_the_command_line_reads_it(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = str(tmp_path / "t.sock")
+    with program(tmp_path, Engine("s-1"), socket=path) as given:
+        assert given.client().ask(query()).rows
+        assert os.stat(path).st_mode & 0o077 == 0
+        assert main(["timeline", "show", "--socket", path, "--format", "json"]) == 0
+        (row,) = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+        assert (row["engine"], row["state"]) == ("s-1", "ready")
+        assert main(["timeline", "show", "--socket", path, "s-1"]) == 0
+        table = capsys.readouterr().out
+        assert "drawn for query 1 (lookup), attempt 0" in table and "listed as ready" in table
+        assert main(["timeline", "show", "--socket", path, "s-1", "--level", "1s", "--format", "json"]) == 0
+        rolled = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+        assert sum(row["ok"] for row in rolled) == 1
+        assert main(["timeline", "show", "--socket", path, "nobody"]) == 1
+        assert main(["timeline", "events", "--socket", path]) == 0
+        stop(given)
+    assert not os.path.exists(path)
+    assert main(["timeline", "show", "--socket", path]) == 1
+
+
+# --- The live view alone.
+
+
+def line_with(*happenings: Happening) -> Timeline:
+    line = Timeline(1 << 20, 300 * SECOND, Thresholds(), ("short",), 0)
+    line.listed(SECOND, api.EngineList(api.ListKind.CACHED, (engine("e1"),)))
+    line.happenings.extend(happenings)
+    return line
+
+
+def happening(number: int) -> Happening:
+    return Happening("e1", Verdict.SLOW, True, number * SECOND, number * SECOND, {"times_peers": 4.0})
+
+
+def talk(path: Path, requests: list[bytes]) -> list[list[bytes]]:
+    """Each on a connection of its own."""
+    answers = []
+    for request in requests:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(10)
+            sock.connect(str(path))
+            sock.sendall(request)
+            with sock.makefile("rb") as file:
+                try:
+                    answers.append(file.readlines())
+                except ConnectionResetError:  # it was hung up on with the rest unread
+                    answers.append([b"error"])
+    return answers
+
+
+def test_requests_that_cannot_be_used_get_one_error_and_harm_nobody(tmp_path: Path) -> None:
+    path = tmp_path / "s"
+    requests = [
+        b"garbage\n",
+        b'{"what": "nothing"}\n',
+        b'{"what": "engines", "more": 1}\n',
+        b'{"what": "show", "level": 9, "engine": "e1"}\n',
+        b"x" * 10_000,
+        b'{"what": "engines"}\n',
+    ]
+
+    async def run() -> list[list[bytes]]:
+        live = Live(str(path), line_with(), 2, Counters())
+        task = asyncio.create_task(live.run())
+        answers = await asyncio.to_thread(talk, path, requests)
+        task.cancel()
+        live.close()
+        return answers
+
+    answers = asyncio.run(run())
+    assert all(len(lines) == 1 and b"error" in lines[0] for lines in answers[:5])
+    assert json.loads(answers[5][0])["engine"] == "e1"
+
+
+def test_a_follower_that_does_not_read_misses_events_and_holds_up_nobody(tmp_path: Path) -> None:
+    path, got = tmp_path / "s", list[dict[str, object]]()
+    release = threading.Event()
+
+    def follow(read: bool) -> None:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(10)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(str(path))
+            sock.sendall(b'{"what": "events", "follow": true}\n')
+            if not read:
+                release.wait(10)
+            with sock.makefile("rb") as file:
+                for line in file:
+                    got.append(json.loads(line))
+                    if got[-1].get("at_us") == 99_999 * SECOND:
+                        return
+
+    async def run() -> float:
+        live = Live(str(path), line_with(happening(1)), 2, Counters())
+        task = asyncio.create_task(live.run())
+        stuck = asyncio.create_task(asyncio.to_thread(follow, False))
+        while not live.followers:
+            await asyncio.sleep(0.01)
+        slowest = 0.0
+        for number in range(50):
+            start = time.perf_counter()
+            live.tell([happening(number * 100 + n) for n in range(100)])
+            slowest = max(slowest, time.perf_counter() - start)
+            await asyncio.sleep(0.002)
+        (follower,) = live.followers
+        assert len(follower.queue) <= QUEUE and follower.missed > 0
+        release.set()
+        while follower.queue or follower.missed:
+            await asyncio.sleep(0.01)
+        live.tell([happening(99_999)])
+        await asyncio.wait_for(stuck, 10)
+        while live.followers:  # what has gone leaves nothing behind
+            await asyncio.sleep(0.01)
+        task.cancel()
+        live.close()
+        return slowest
+
+    assert asyncio.run(run()) < 0.1
+    assert got[0]["at_us"] == SECOND
+    missed = sum(int(str(row["missed"])) for row in got if "missed" in row)
+    assert missed > 0 and missed + sum("engine" in row for row in got) == 5002
+
+
+# --- The command line on a store.
+
+
+def store_of(folder: Path) -> None:
+    from .test_store import do, feed, timeline, writer
+
+    line, store = timeline(), writer(folder)
+    feed(line, 400)
+    do(store.flush(line))
+    at = line.record.now
+    do(store.judged([Happening("e1", Verdict.SLOW, True, at - 2 * SECOND, at - 3 * SECOND, {"x": 3.0})]))
+    do(store.judged([Happening("e1", Verdict.SLOW, False, at - SECOND, at - SECOND, {})]))
+    store.close()
+
+
+def test_show_events_and_export_agree_on_a_store(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    store_of(tmp_path)
+    at = ["--store", str(tmp_path)]
+    assert main(["timeline", "show", *at]) == 0
+    assert capsys.readouterr().out.split() == ["ENGINE", "e0", "e1", "e2", "e3", "e4"]
+    assert main(["timeline", "show", *at, "e1", "--format", "json"]) == 0
+    shown = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert main(["timeline", "export", *at, "e1", "--form", "csv"]) == 0
+    exported = list(csv.DictReader(io.StringIO(capsys.readouterr().out)))
+    assert [row["what"] for row in shown] == [row["what"] for row in exported] != []
+    assert main(["timeline", "show", *at, "e1", "--limit", "3", "--format", "json"]) == 0
+    assert [json.loads(line) for line in capsys.readouterr().out.splitlines()] == shown[-3:]
+    assert main(["timeline", "events", *at]) == 0
+    assert "slow" in capsys.readouterr().out
+    assert main(["timeline", "show", *at, "nobody"]) == 1
+    assert main(["timeline", "show", "e1"]) == 2
+    assert main(["timeline", "show", *at, "--since", "whenever"]) == 2
+    assert main(["timeline", "events", *at, "--follow"]) == 2
+    assert main(["timeline", "show", "--store", str(tmp_path / "none")]) == 1
+
+
+@pytest.mark.parametrize("suffix", ["png", "svg"])
+def test_an_incident_is_drawn(tmp_path: Path, suffix: str) -> None:
+    store_of(tmp_path / "store")
+    out = tmp_path / f"incident.{suffix}"
+    plot = ["timeline", "plot", "--store", str(tmp_path / "store")]
+    assert main([*plot, "--out", str(out)]) == 0
+    assert out.stat().st_size > 5_000
+    assert (
+        main(["timeline", "plot", "--store", str(tmp_path / "store"), "--out", str(tmp_path / "x.gif")]) == 2
+    )
+    empty = ["--since", "1s", "--out", str(out)]
+    assert main(["timeline", "plot", "--store", str(tmp_path / "store"), *empty]) == 1
--- a/whintrail/cli/root.py
+++ b/whintrail/cli/root.py
@@ -13,6 +13,7 @@
     "serve": "whintrail.cli.serve:serve",
     "demo": "whintrail.cli.demo:demo",
     "check": "whintrail.cli.check:check",
+    "timeline": "whintrail.cli.timeline:timeline",
 }
 
 
--- /dev/null
+++ b/whintrail/cli/timeline.py
@@ -0,0 +1,315 @@
+"""`whintrail timeline`: what engines went through, from a running gateway or from its store."""
+
+import re
+import socket
+import sys
+import time
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from whintrail.cli.output import emit, format_option
+from whintrail.timeline.kinds import Row
+from whintrail.timeline.live import happening_row
+from whintrail.timeline.store import Reader
+
+UNITS = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+LEVELS = {"raw": None, "1s": 0, "10s": 1, "1m": 2}
+SHOW = ["time", "engine", "kind", "what"]
+ROLLED = ["time", "sends", "ok", "errors", "full", "lost", "moved", "passed", "load", "p50_ms", "p95_ms"]
+EVENTS = ["time", "engine", "event", "begins", "since", "evidence"]
+
+
+class Time(click.ParamType[int]):
+    """Unix microseconds, from `10m` (ago), an ISO time (UTC without a zone), or Unix seconds."""
+
+    name = "time"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> int:
+        if isinstance(value, int):
+            return value
+        if found := re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", value):
+            return int((time.time() - float(found[1]) * UNITS[found[2]]) * 1e6)
+        if re.fullmatch(r"\d+(\.\d+)?", value):
+            return int(float(value) * 1e6)
+        try:
+            at = datetime.fromisoformat(value)
+        except ValueError:
+            self.fail(f"{value!r} is no time: 10m, 2026-12-01T18:00:00 or Unix seconds", param, ctx)
+        return int((at if at.tzinfo else at.replace(tzinfo=UTC)).timestamp() * 1e6)
+
+
+def clock(us: int) -> str:
+    return datetime.fromtimestamp(us / 1e6, UTC).strftime("%Y-%m-%dT%H:%M:%S.%f")[:-3] + "Z"
+
+
+def ask(path: str, **request: Any) -> Iterator[dict[str, Any]]:
+    """Rows from the live view. Errors: ClickException."""
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(None if request.get("follow") else 10.0)
+        try:
+            sock.connect(path)
+            sock.sendall(msgspec.json.encode(request) + b"\n")
+            with sock.makefile("rb") as file:
+                for line in file:
+                    row = msgspec.json.decode(line)
+                    if "error" in row:
+                        raise click.ClickException(row["error"])
+                    yield row
+        except OSError as error:
+            raise click.ClickException(f"{path}: {error}") from error
+
+
+def open_store(directory: str) -> Reader:
+    reader = Reader.open(directory)
+    for why in reader.skipped:
+        click.echo(f"whintrail: skipped {why}", err=True)
+    return reader
+
+
+def one_source(store: str | None, path: str | None) -> None:
+    if (store is None) == (path is None):
+        raise click.UsageError("name one source: --store DIRECTORY or --socket PATH")
+
+
+store_option = click.option("--store", type=click.Path(file_okay=False), help="The store's directory.")
+socket_option = click.option("--socket", "path", type=click.Path(), help="A running gateway's live view.")
+since_option = click.option("--since", type=Time(), default=0, help="10m, an ISO time, Unix seconds.")
+until_option = click.option("--until", type=Time(), default=1 << 62)
+
+
+@click.group()
+def timeline() -> None:
+    """What each engine went through.
+
+    \b
+    Examples:
+      whintrail timeline show --socket /run/whintrail/timeline.sock
+      whintrail timeline show --store DIR s-12 --since 30m
+      whintrail timeline events --socket PATH --follow
+      whintrail timeline plot --store DIR --since 1h --out incident.png
+      whintrail timeline verify --store DIR
+    """
+
+
+@timeline.command()
+@click.argument("engine", required=False)
+@store_option
+@socket_option
+@since_option
+@until_option
+@click.option("--level", type=click.Choice(list(LEVELS)), default="raw", show_default=True)
+@click.option("--limit", type=click.IntRange(1), help="The last so many rows only.")
+@format_option
+def show(
+    engine: str | None,
+    store: str | None,
+    path: str | None,
+    since: int,
+    until: int,
+    level: str,
+    limit: int | None,
+    form: str,
+) -> int:
+    """An engine's raw events or roll-ups; without an engine, the engines.
+
+    \b
+    Example:
+      whintrail timeline show --store DIR s-12 --since 18:00 --level 10s
+    """
+    one_source(store, path)
+    columns = SHOW if level == "raw" else ROLLED
+    if engine is None:
+        columns = ["engine", "kind", "state", "held", "load", "verdicts"]
+        if path is not None:
+            emit(ask(path, what="engines"), columns, form)
+        else:
+            assert store is not None
+            with open_store(store) as reader:
+                emit(({"engine": name} for name in reader.engines()), ["engine"], form)
+        return 0
+    if path is not None:
+        request = {"engine": engine, "since_us": since, "until_us": until, "level": LEVELS[level]}
+        rows: Iterator[dict[str, Any]] = ask(path, what="show", **request)
+        count = emit(tail(timed(rows), limit), columns, form)
+    else:
+        assert store is not None
+        with open_store(store) as reader:
+            if level == "raw":
+                classes = reader.classes
+                rows = (shown(row, classes) for row in reader.rows(engine, since, until))
+            else:
+                if LEVELS[level] == 0:
+                    raise click.UsageError("the store keeps raw events and roll-ups of 10s and 1m")
+                found = reader.rollups(engine, LEVELS[level] or 0, since, until)
+                rows = timed(bucket.summary() for bucket in found)
+            count = emit(tail(rows, limit), columns, form)
+    if not count:
+        click.echo(f"whintrail: nothing about {engine} in that time", err=True)
+    return 0 if count else 1
+
+
+def shown(row: Row, classes: tuple[str, ...]) -> dict[str, Any]:
+    return {
+        "time": clock(row.at_us),
+        "at_us": row.at_us,
+        "engine": row.engine,
+        "kind": row.kind.name.lower(),
+        "what": row.describe(classes),
+    }
+
+
+def timed(rows: Any) -> Iterator[dict[str, Any]]:
+    for row in rows:
+        yield {"time": clock(row["at_us"]), **row}
+
+
+def tail(rows: Iterator[dict[str, Any]], limit: int | None) -> Iterator[dict[str, Any]]:
+    if limit is None:
+        return rows
+    from collections import deque
+
+    return iter(deque(rows, maxlen=limit))
+
+
+def told(rows: Any, form: str) -> Iterator[dict[str, Any]]:
+    """Happenings as rows; in a table the evidence is one cell."""
+    for row in rows:
+        if "missed" in row:
+            click.echo(f"whintrail: {row['missed']} events missed: this reader was too slow", err=True)
+            continue
+        row = {"time": clock(row["at_us"]), "since": clock(row["since_us"]), **row}
+        if form == "table":
+            row["evidence"] = " ".join(f"{name}={value:.4g}" for name, value in row["evidence"].items())
+        yield row
+
+
+@timeline.command()
+@click.argument("engine", required=False)
+@store_option
+@socket_option
+@since_option
+@until_option
+@click.option("--follow", is_flag=True, help="Go on with what comes (live view only).")
+@format_option
+def events(
+    engine: str | None, store: str | None, path: str | None, since: int, until: int, follow: bool, form: str
+) -> int:
+    """What was out of the usual: stalled, slow, failing, flapping, cold again, and the ends.
+
+    \b
+    Example:
+      whintrail timeline events --socket PATH --follow --format json
+    """
+    one_source(store, path)
+    if path is not None:
+        rows = ask(path, what="events", engine=engine, since_us=since, follow=follow)
+        if follow:
+            for row in told(rows, form):
+                if form == "json":
+                    sys.stdout.buffer.write(msgspec.json.encode(row) + b"\n")
+                else:
+                    click.echo("  ".join(str(row[column]) for column in EVENTS))
+                sys.stdout.flush()
+            return 0
+        emit(told(rows, form), EVENTS, form)
+        return 0
+    if follow:
+        raise click.UsageError("--follow needs --socket")
+    assert store is not None
+    with open_store(store) as reader:
+        found = (happening_row(happening) for happening in reader.happenings(engine, since, until))
+        emit(told(found, form), EVENTS, form)
+    return 0
+
+
+@timeline.command()
+@click.argument("engine", required=False)
+@click.option("--store", type=click.Path(file_okay=False), required=True)
+@since_option
+@until_option
+@click.option("--form", type=click.Choice(["jsonl", "csv"]), default="jsonl", show_default=True)
+def export(engine: str | None, store: str, since: int, until: int, form: str) -> int:
+    """Raw events with their codes and figures, for other programs.
+
+    \b
+    Example:
+      whintrail timeline export --store DIR s-12 --form csv > s-12.csv
+    """
+    import csv
+
+    columns = ("at_us", "engine", "kind", "code", "a", "b", "what")
+    writer = csv.writer(sys.stdout) if form == "csv" else None
+    if writer is not None:
+        writer.writerow(columns)
+    with open_store(store) as reader:
+        classes = reader.classes
+        for row in reader.rows(engine, since, until):
+            values = (
+                row.at_us,
+                row.engine,
+                row.kind.name.lower(),
+                row.code,
+                row.a,
+                row.b,
+                row.describe(classes),
+            )
+            if writer is not None:
+                writer.writerow(values)
+            else:
+                sys.stdout.buffer.write(msgspec.json.encode(dict(zip(columns, values, strict=True))) + b"\n")
+    return 0
+
+
+@timeline.command()
+@click.option("--store", type=click.Path(file_okay=False), required=True)
+@click.argument("engines", nargs=-1)
+@since_option
+@until_option
+@click.option("--out", type=click.Path(dir_okay=False), required=True, help="A .png or .svg file.")
+def plot(store: str, engines: tuple[str, ...], since: int, until: int, out: str) -> int:
+    """Draw an incident: a lane an engine, with load, latency bands, sends, errors and events.
+
+    \b
+    Example:
+      whintrail timeline plot --store DIR s-3 s-12 --since 20m --out incident.svg
+    """
+    if Path(out).suffix not in (".png", ".svg"):
+        raise click.BadParameter("the file's name must end in .png or .svg", param_hint="--out")
+    try:
+        from whintrail.timeline.plot import draw
+    except ModuleNotFoundError as error:
+        raise click.ClickException(f"plot needs {error.name}: install requirements-plot.txt") from error
+    with open_store(store) as reader:
+        drawn = draw(reader, list(engines), since, until, out)
+    if not drawn:
+        raise click.ClickException("nothing to draw in that time")
+    click.echo(f"{out}: {drawn} engines")
+    return 0
+
+
+@timeline.command()
+@click.option("--store", type=click.Path(file_okay=False), required=True)
+@format_option
+def verify(store: str, form: str) -> int:
+    """Look at every byte: frames, checksums, torn tails, indexes. Status 1 where something is lost.
+
+    \b
+    Example:
+      whintrail timeline verify --store DIR
+    """
+    reader, bad = Reader(Path(store)), 0
+    rows = []
+    for report in reader.verify():
+        bad += bool(report.fault or report.damaged or report.index not in ("sound", "none"))
+        rows.append({name: getattr(report, name) for name in report.__slots__})
+    emit(
+        rows,
+        ["name", "bytes", "frames", "events", "engines", "damaged", "lost_bytes", "torn", "index", "fault"],
+        form,
+    )
+    return 1 if bad else 0
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -31,7 +31,7 @@
     stalled_evidence: Annotated[float, Meta(ge=3.0, le=100.0)] = 14.0  # -ln of the chance that it is well
     stalled_least_s: Seconds = 1.0
     slow_factor: Annotated[float, Meta(ge=1.2, le=100.0)] = 2.5  # against itself before, and its peers
-    slow_evidence: Annotated[float, Meta(ge=3.0, le=1000.0)] = 12.0  # the CUSUM's threshold
+    slow_evidence: Annotated[float, Meta(ge=3.0, le=1000.0)] = 16.0  # the CUSUM's threshold
     failing_share: Annotated[float, Meta(ge=0.05, le=1.0)] = 0.3
     flapping_turns: Annotated[int, Meta(ge=2, le=100)] = 3
     flapping_within_s: Seconds = 60.0
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -57,6 +57,7 @@
     gc_thresholds: tuple[int, int, int]
     # Times in microseconds.
     answer_slack_us: int
+    timeline_tick_us: int
     call_memory_us: int  # the id of a query that is over is known for so long at least
 
     @staticmethod
@@ -106,5 +107,6 @@
             finish_after_stop_s=min(longest, 3.0) + 0.4,
             gc_thresholds=(20_000, 20, 50),
             call_memory_us=4_000_000,
+            timeline_tick_us=250_000,
             answer_slack_us=int(get(rules, "AnswerSlackUs", 20_000)),
         )
--- a/whintrail/gateway/log.py
+++ b/whintrail/gateway/log.py
@@ -33,10 +33,16 @@
     """
 
     def __init__(self, name: str, burst: float, per_second: float, as_json: bool = False) -> None:
-        self.burst, self.per_second = burst, per_second
+        self.name = name
+        self.change(burst, per_second, as_json)
         self._kinds: dict[str, tuple[float, float, int]] = {}  # kind: (allowance, at, lines held back)
+
+    def change(self, burst: float, per_second: float, as_json: bool) -> None:
+        """From now on; everybody who logs holds this one object."""
+        self.burst, self.per_second = burst, per_second
+        processors = [_stamp, _json if as_json else _line]
         self._out = structlog.wrap_logger(
-            structlog.PrintLogger(sys.stderr), processors=[_stamp, _json if as_json else _line], gateway=name
+            structlog.PrintLogger(sys.stderr), processors=processors, gateway=self.name
         )
 
     def line(self, kind: str, text: str, **fields: object) -> None:
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -7,6 +7,7 @@
 import asyncio
 import traceback
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -37,6 +38,28 @@
     def bump(self, attempt: "Attempt") -> None: ...
 
 
+class TimeLine(Protocol):
+    """Who keeps what engines go through. It decides nothing, and its faults are not the gateway's."""
+
+    def listed(self, now: int, event: api.EngineList) -> None: ...
+    def probed(self, now: int, event: api.ProbeEnded) -> None: ...
+    def sent(
+        self, now: int, engine: str, query: int, attempt: int, class_name: str, estimate_us: float | None
+    ) -> None: ...
+    def ended(
+        self,
+        now: int,
+        engine: str,
+        query: int,
+        attempt: int,
+        outcome: api.Outcome,
+        elapsed_us: int,
+        report: api.LoadReport | None,
+    ) -> None: ...
+    def noted(self, now: int, engine: str, query: int, topic: api.Topic, value: float) -> None: ...
+    def remarked(self, now: int, remarks: list[api.Remark]) -> None: ...
+
+
 class Engines(Protocol):
     """What carries attempts and probes; each gets exactly one end through the queue, never at once."""
 
@@ -182,10 +205,21 @@
         self.past_until = self.now + limits.call_memory_us
         self.numbered = 0
         self.timers = Wheel(self.now)
+        self.timeline: TimeLine | None = None
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = 0
         self._do(self.module.start())
 
+    def observe(self, timeline: TimeLine, tick: Callable[[int], None], every_us: int) -> None:
+        """Keep a time line from now on; `tick` is called with the time, again and again."""
+        self.timeline, self.module.remarks = timeline, []
+
+        def turn() -> None:
+            self.timers.set(self.now + every_us, turn)
+            tick(self.now)
+
+        turn()
+
     @property
     def idle(self) -> bool:
         return not self.queries and not self.inbox.queue
@@ -239,19 +273,51 @@
     # --- What happens.
 
     def _tell(self, event: api.Event) -> None:
+        if self.timeline is not None:
+            self._record(event)
         try:
             actions = self.module.handle(self.now, event)
         except Exception as error:
             self._fault(error, event)
             actions = self.module.actions  # what it had decided by then, which it remembers
         self._do(actions)
+        if self.module.remarks and self.timeline is not None:
+            remarks, self.module.remarks = self.module.remarks, []
+            try:
+                self.timeline.remarked(self.now, remarks)
+            except Exception as error:
+                self._fault(error, "a remark", "timeline")
 
-    def _fault(self, error: Exception, on: object) -> None:
+    def _record(self, event: api.Event) -> None:
+        """What the time line keeps of an event. Sends are told where they are sent."""
+        timeline, now = self.timeline, self.now
+        assert timeline is not None
+        try:
+            if isinstance(event, api.AttemptEnded):
+                timeline.ended(
+                    now,
+                    event.engine,
+                    event.query,
+                    event.attempt,
+                    event.outcome,
+                    event.elapsed_us,
+                    event.report,
+                )
+            elif isinstance(event, api.AttemptNote):
+                timeline.noted(now, event.engine, event.query, event.topic, event.value)
+            elif isinstance(event, api.ProbeEnded):
+                timeline.probed(now, event)
+            elif isinstance(event, api.EngineList):
+                timeline.listed(now, event)
+        except Exception as error:
+            self._fault(error, event, "timeline")
+
+    def _fault(self, error: Exception, on: object, whose: str = "module") -> None:
         """One query's trouble must not be everybody's."""
-        self.counters.add("module", "faults")
+        self.counters.add(whose, "faults")
         where = traceback.extract_tb(error.__traceback__)[-1]
         place = f"{where.name}:{where.lineno}"
-        self.log.line("module", f"{type(error).__name__}: {error} at {place}, on {str(on)[:200]}")
+        self.log.line(whose, f"{type(error).__name__}: {error} at {place}, on {str(on)[:200]}")
 
     def _take(self, item: Input) -> None:
         match item:
@@ -432,6 +498,14 @@
             self.inbox.put(Ended(attempt, api.Outcome.MOOT))
             return
         self.counters.add("attempts", "sent")
+        if self.timeline is not None:
+            work_ms = query.statement.work_ms
+            estimate_us = None if work_ms is None else work_ms * 1000
+            try:
+                name = query.statement.class_name
+                self.timeline.sent(self.now, engine, number, attempt.number, name, estimate_us)
+            except Exception as error:
+                self._fault(error, "a send", "timeline")
         if limit < query.give_up_us:
             attempt.timer = self.timers.set(limit, lambda: self._timed_out(attempt))
         self.engines.send(attempt)
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -20,11 +20,12 @@
 from whintrail.gateway.log import Log, say
 from whintrail.gateway.owner import Inbox, Owner, Stop
 from whintrail.gateway.sessions import Sessions
-from whintrail.interface import ReportsBy
+from whintrail.interface import ReportsBy, Settings
 from whintrail.settings import get, read_report, read_settings
 
 if TYPE_CHECKING:
     from whintrail.config import OperatorFile
+    from whintrail.timeline.keeper import Keeper
 
 NAME = "whintrail"  # until the configuration gives one
 
@@ -84,6 +85,7 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise StartError(f"the configuration can't be used: {type(error).__name__}: {error}") from error
         self.owner = Owner(settings, seed, self.limits, self.inbox, self.links, self.counters, self.log)
+        self.keeper = self._open_timeline(settings)
         self.stopping = asyncio.Event()
 
     def _open_log(self, name: str) -> Log:
@@ -110,6 +112,28 @@
         self.log.line("configuration", f"taken, bulletin at {where[0]}:{where[1]}")
         self.bulletin.move(where)
 
+    def _open_timeline(self, settings: Settings) -> "Keeper | None":
+        """The time line, where the operator's file asks for one; what keeps it is imported only then."""
+        if self.operator is None or self.operator.timeline is None:
+            return None
+        try:
+            from whintrail.timeline.keeper import Keeper
+        except ModuleNotFoundError as error:
+            raise StartError(f"the time line needs {error.name}: see requirements-operator.txt") from error
+        classes = tuple(cls.name for cls in settings.classes)
+        keeper = Keeper(
+            self.operator,
+            self.operator.timeline,
+            self.name,
+            classes,
+            settings.cold_us,
+            self.inbox.clock.now_us,
+            self.counters,
+            self.log,
+        )
+        self.owner.observe(keeper.timeline, keeper.tick, self.limits.timeline_tick_us)
+        return keeper
+
     def _reload_operator(self) -> None:
         try:
             given = read_operator(self.environment)
@@ -119,8 +143,13 @@
             return
         if given != self.operator:
             self.operator = given
-            self.log = self._open_log(self.name)
-            self.log.line("configuration", "operator's file taken")
+            if given is not None:
+                logging = given.logging
+                self.log.change(logging.burst, logging.per_second, logging.format == "json")
+                if self.keeper is not None and given.timeline is not None:
+                    self.keeper.apply(given.timeline)
+            self.counters.add("configuration", "taken")
+            self.log.line("configuration", "operator's file taken; sizes and places hold from the next start")
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -135,6 +164,8 @@
         owner = loop.create_task(self.owner.run())
         accepting = loop.create_task(self.sessions.accept())
         tasks = [accepting, loop.create_task(self.bulletin.run()), loop.create_task(self.sessions.watch())]
+        if self.keeper is not None:
+            self.keeper.start()
         gc.collect()
         gc.freeze()
         gc.set_threshold(*self.limits.gc_thresholds)
@@ -153,6 +184,8 @@
             await asyncio.gather(owner, stopping, *tasks, return_exceptions=True)
             await self.sessions.close()
             await self.links.close()
+            if self.keeper is not None:
+                await self.keeper.close()
             self.print_counters()
 
     async def _stop(self, accepting: "asyncio.Task[None]") -> None:
--- /dev/null
+++ b/whintrail/timeline/columns.py
@@ -0,0 +1,95 @@
+"""Raw events in compact columns: 22 bytes each, in chunks, the oldest of which goes as a whole.
+
+A chunk holds an array a column. Reading one engine's events is rare and looks through the slots' column; an
+event costs six appends and keeps no object alive.
+"""
+
+from array import array
+from collections import deque
+from collections.abc import Iterator
+
+ROW_BYTES = 22
+RawRow = tuple[int, int, int, int, float, float]  # time, slot, kind, code, a, b
+
+
+class Chunk:
+    __slots__ = ("a", "b", "codes", "first", "slots", "times")
+
+    def __init__(self, first: int) -> None:
+        self.first = first  # the number of its first event
+        self.times, self.slots = array("q"), array("I")
+        self.codes = array("H")  # kind * 256 + code
+        self.a, self.b = array("f"), array("f")
+
+    def __len__(self) -> int:
+        return len(self.times)
+
+    def row(self, i: int) -> RawRow:
+        code = self.codes[i]
+        return self.times[i], self.slots[i], code >> 8, code & 0xFF, self.a[i], self.b[i]
+
+
+class Columns:
+    """Events numbered from 0 in the order in which they came. `most_bytes` bounds what is kept."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self.rows_a_chunk = max(256, min(4096, most_bytes // ROW_BYTES // 8))
+        self.most_chunks = max(2, most_bytes // (self.rows_a_chunk * ROW_BYTES))
+        self.chunks: deque[Chunk] = deque([Chunk(0)])
+        self.last = self.chunks[-1]
+        self.dropped = 0
+
+    @property
+    def next(self) -> int:
+        """The number that the next event gets."""
+        return self.last.first + len(self.last)
+
+    @property
+    def bytes(self) -> int:
+        return sum(len(chunk) for chunk in self.chunks) * ROW_BYTES
+
+    def add(self, at: int, slot: int, kind: int, code: int, a: float, b: float) -> None:
+        last = self.last
+        if len(last.times) >= self.rows_a_chunk:
+            last = self._grow()
+        last.times.append(at)
+        last.slots.append(slot)
+        last.codes.append(kind << 8 | code)
+        last.a.append(a)
+        last.b.append(b)
+
+    def _grow(self) -> Chunk:
+        self.last = Chunk(self.next)
+        self.chunks.append(self.last)
+        if len(self.chunks) > self.most_chunks:
+            self.dropped += len(self.chunks.popleft())
+        return self.last
+
+    def forget_before(self, at: int) -> None:
+        """Let go of whole chunks that hold nothing later."""
+        while len(self.chunks) > 1 and self.chunks[0].times[-1] < at:
+            self.dropped += len(self.chunks.popleft())
+
+    @property
+    def oldest_us(self) -> int | None:
+        first = self.chunks[0]
+        return first.times[0] if len(first) else None
+
+    def rows(self, slot: int | None = None, since: int = 0, until: int = 1 << 62) -> Iterator[RawRow]:
+        """In order of arrival; those of one engine, or of all."""
+        for chunk in list(self.chunks):
+            if not len(chunk) or chunk.times[-1] < since or chunk.times[0] > until:
+                continue
+            for i in range(len(chunk)):
+                if (slot is None or chunk.slots[i] == slot) and since <= chunk.times[i] <= until:
+                    yield chunk.row(i)
+
+    def after(self, number: int, most: int) -> tuple[list[RawRow], int, int]:
+        """Up to `most` events from that number on; the number after them, and how many of them were gone."""
+        first = self.chunks[0].first
+        gone, at, found = max(0, first - number), max(first, number), list[RawRow]()
+        for chunk in self.chunks:
+            while at - chunk.first < len(chunk) and at >= chunk.first and len(found) < most:
+                found.append(chunk.row(at - chunk.first))
+                at += 1
+        return found, at, gone
--- /dev/null
+++ b/whintrail/timeline/core.py
@@ -0,0 +1,230 @@
+"""The time line as a whole: what happens goes to the record and to the judge. Pure; one caller feeds it."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from whintrail import interface as api
+from whintrail.timeline.judge import Judge, Thresholds
+from whintrail.timeline.kinds import (
+    END,
+    OUTCOME_CODE,
+    REASON_CODE,
+    STATE_CODE,
+    TOPIC_CODE,
+    Happening,
+    Kind,
+)
+from whintrail.timeline.record import Record, Track
+
+SECOND = 1_000_000
+HAPPENINGS = 1_000  # of the judge's, kept for views
+PASSING = frozenset(
+    {
+        api.Reason.RESTS,
+        api.Reason.FULL,
+        api.Reason.SHUT_OUT,
+        api.Reason.COLD,
+        api.Reason.NO_ROOM,
+        api.Reason.NOT_PLACED,
+    }
+)
+
+
+@dataclass(slots=True)
+class Pending:
+    """Remarks of one kind about one engine within a second: told as one, with their number."""
+
+    track: Track
+    reason: api.Reason
+    at_us: int
+    count: int = 0
+
+
+class Timeline:
+    """Times are Unix microseconds. `classes`: the names whose place is the code of a class."""
+
+    def __init__(
+        self,
+        memory_bytes: int,
+        raw_us: int,
+        thresholds: Thresholds,
+        classes: tuple[str, ...],
+        cold_us: int,
+    ) -> None:
+        self.record = Record(memory_bytes, raw_us)
+        self.judge = Judge(thresholds, cold_us)
+        self.classes = classes
+        self.class_code = {name: code for code, name in enumerate(classes)}
+        self.happenings: deque[Happening] = deque(maxlen=HAPPENINGS)
+        self.pending: dict[tuple[str, api.Reason], Pending] = {}
+        self.tidied_at = 0
+
+    # --- What happens.
+
+    def listed(self, now: int, event: api.EngineList) -> None:
+        record = self.record
+        now = record.at(now)
+        if event.kind is api.ListKind.FAILED:
+            return
+        named = {entry.engine for entry in event.entries}
+        if event.kind is not api.ListKind.DELTA:
+            for engine in [e for e, track in record.tracks.items() if track.gone_us is None]:
+                if engine not in named:
+                    track = record.tracks[engine]
+                    self._listed(
+                        now, api.EngineEntry(engine, track.kind, "", 0, 1.0, api.EngineState.GONE, None)
+                    )
+        for entry in event.entries:
+            self._listed(now, entry)
+
+    def _listed(self, now: int, entry: api.EngineEntry) -> None:
+        if entry.state is api.EngineState.GONE and entry.engine not in self.record.tracks:
+            return
+        track = self.record.track(entry.engine)
+        age = -1.0 if entry.started_us is None else (now - entry.started_us) / SECOND
+        track.kind, track.state = entry.kind, entry.state
+        if entry.state is api.EngineState.GONE:
+            self.record.left(track)
+        else:
+            self.record.back(track)
+        self.record.add(track, Kind.LISTED, STATE_CODE[entry.state], entry.weight, age)
+        self.judge.listed(now, track.slot, entry)
+
+    def probed(self, now: int, event: api.ProbeEnded) -> None:
+        now = self.record.at(now)
+        if (track := self.record.tracks.get(event.engine)) is None:
+            return
+        self.record.add(track, Kind.PROBED, OUTCOME_CODE[event.outcome], event.elapsed_us / 1000, 0.0)
+        if event.report is not None:
+            self._reported(track, event.report, True)
+
+    def _reported(self, track: Track, report: api.LoadReport, probe: bool) -> None:
+        load = report.utilisation if report.held is None else report.held
+        memory = -1.0 if report.memory_share is None else report.memory_share
+        self.record.add(track, Kind.REPORTED, probe, load or 0.0, memory)
+        if load is not None:
+            track.load = load
+            bucket = self.record.bucket(track)
+            bucket.loads += 1
+            bucket.load_sum += load
+            if load > bucket.load_most:
+                bucket.load_most = load
+            self.judge.reported(track.engine, load)
+
+    def sent(
+        self, now: int, engine: str, query: int, attempt: int, class_name: str, estimate_us: float | None
+    ) -> None:
+        record = self.record
+        now = record.at(now)
+        if (track := record.tracks.get(engine)) is None:
+            return
+        cls = self.class_code.get(class_name, 255)
+        record.add(track, Kind.SENT, cls, query, attempt)
+        track.held += 1
+        bucket = record.bucket(track)
+        bucket.sends += 1
+        if track.held > bucket.held_most:
+            bucket.held_most = track.held
+        self.judge.sent(now, engine, query, attempt, cls, estimate_us)
+
+    def ended(
+        self,
+        now: int,
+        engine: str,
+        query: int,
+        attempt: int,
+        outcome: api.Outcome,
+        elapsed_us: int,
+        report: api.LoadReport | None = None,
+    ) -> None:
+        record = self.record
+        now = record.at(now)
+        if (track := record.tracks.get(engine)) is None:
+            return
+        record.add(track, Kind.ENDED, OUTCOME_CODE[outcome], query, elapsed_us / 1000)
+        track.held -= track.held > 0
+        bucket = record.bucket(track)
+        if outcome is api.Outcome.OK:
+            bucket.ok += 1
+            bucket.latency.add(elapsed_us / 1000)
+        elif outcome is api.Outcome.ERROR:
+            bucket.errors += 1
+        elif outcome is api.Outcome.FULL:
+            bucket.full += 1
+        elif outcome in (api.Outcome.CANCELLED, api.Outcome.MOOT):
+            bucket.moved += 1
+        else:
+            bucket.lost += 1
+        if report is not None:
+            self._reported(track, report, False)
+        self.judge.ended(now, engine, query, attempt, outcome, elapsed_us)
+
+    def noted(self, now: int, engine: str, query: int, topic: api.Topic, value: float) -> None:
+        now = self.record.at(now)
+        if (track := self.record.tracks.get(engine)) is None:
+            return
+        self.record.add(track, Kind.NOTED, TOPIC_CODE[topic], query, value)
+        self.judge.noted(now, engine)
+
+    def remarked(self, now: int, remarks: list[api.Remark]) -> None:
+        """Why the module did, or didn't; the first of a kind at once, those of the same second with their
+        number, or one held query that asks every engine would fill the record."""
+        now = self.record.at(now)
+        for remark in remarks:
+            if (track := self.record.tracks.get(remark.engine)) is None:
+                continue
+            if remark.reason in PASSING:
+                self.record.bucket(track).passed += 1
+            found = self.pending.get((remark.engine, remark.reason))
+            if found is None:
+                self.pending[remark.engine, remark.reason] = Pending(track, remark.reason, now)
+                query = -1.0 if remark.query is None else remark.query
+                self.record.add(track, Kind.DECIDED, REASON_CODE[remark.reason], 1.0, query)
+            else:
+                found.count += 1
+
+    def tick(self, now: int) -> list[Happening]:
+        """What the judge calls; a few times a second."""
+        now = self.record.at(now)
+        self.judge.tick(now)
+        found, self.judge.happenings = self.judge.happenings, []
+        for happening in found:
+            self.happenings.append(happening)
+            if (track := self.record.tracks.get(happening.engine)) is not None:
+                code = int(happening.verdict) + (0 if happening.begins else END)
+                leading = next(iter(happening.evidence.values()), 0.0)
+                self.record.add(track, Kind.JUDGED, code, leading, 0.0)
+        for key, pending in list(self.pending.items()):
+            if now - pending.at_us >= SECOND:
+                if pending.count:
+                    code = REASON_CODE[pending.reason]
+                    self.record.add(pending.track, Kind.DECIDED, code, pending.count, -1.0)
+                del self.pending[key]
+        if now - self.tidied_at >= SECOND:
+            self.tidied_at = now
+            self.record.tidy()
+            if len(self.judge.engines) > len(self.record.tracks):
+                for engine in [e for e in self.judge.engines if e not in self.record.tracks]:
+                    self.judge.forget(engine)
+        return found
+
+    # --- Views.
+
+    def engines(self) -> list[dict[str, object]]:
+        """A line an engine: state, what we hold there, load and the verdicts in force."""
+        found: list[dict[str, object]] = []
+        for track in self.record.tracks.values():
+            watched = self.judge.engines.get(track.engine)
+            active = [v.name.lower().replace("_", " ") for v in watched.active] if watched else []
+            found.append(
+                {
+                    "engine": track.engine,
+                    "kind": track.kind,
+                    "state": track.state.value,
+                    "held": track.held,
+                    "load": track.load,
+                    "verdicts": ", ".join(active) or None,
+                    "last_us": track.last_us,
+                }
+            )
+        return found
--- /dev/null
+++ b/whintrail/timeline/live.py
@@ -0,0 +1,212 @@
+"""The live view: a Unix socket that answers one JSON line with JSON lines. Off unless the file names it.
+
+A request is {"what": "engines" | "show" | "events", ...}. Sizes are bounded before memory is taken; a client
+that doesn't read holds up nobody: a follower's queue is bounded, what it misses is counted and told, and one
+that takes nothing for seconds is hung up on.
+"""
+
+import asyncio
+import os
+import socket
+from collections import deque
+from collections.abc import Iterable, Iterator
+from contextlib import suppress
+from typing import Any, Protocol
+
+import msgspec
+
+from whintrail.timeline.core import Timeline
+from whintrail.timeline.kinds import Happening
+
+MOST_REQUEST, MOST_CLIENTS, MOST_ROWS = 4096, 32, 200_000
+QUEUE, WRITE_S, READ_S = 256, 5.0, 5.0
+BATCH = 200  # rows written before others have their turn
+encode = msgspec.json.encode
+
+
+class Counts(Protocol):
+    def add(self, group: str, name: str, count: int = 1) -> None: ...
+
+
+class Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    what: str
+    engine: str | None = None
+    since_us: int = 0
+    until_us: int = 1 << 62
+    level: int | None = None  # of roll-ups; None: raw events
+    follow: bool = False
+
+
+class Follower:
+    def __init__(self) -> None:
+        self.queue: deque[bytes] = deque()
+        self.missed = 0
+        self.wanted = asyncio.Event()
+
+    def tell(self, line: bytes) -> None:
+        if len(self.queue) >= QUEUE:
+            self.missed += 1
+        else:
+            self.queue.append(line)
+        self.wanted.set()
+
+
+def happening_row(happening: Happening) -> dict[str, object]:
+    return {
+        "at_us": happening.at_us,
+        "engine": happening.engine,
+        "event": happening.verdict.name.lower().replace("_", " "),
+        "begins": happening.begins,
+        "since_us": happening.since_us,
+        "evidence": happening.evidence,
+    }
+
+
+class Live:
+    """Errors of the constructor: OSError where the socket can't be had."""
+
+    def __init__(self, path: str, timeline: Timeline, followers: int, counters: Counts) -> None:
+        self.timeline, self.most_followers, self.counters = timeline, followers, counters
+        self.followers: set[Follower] = set()
+        self.clients: set[asyncio.Task[None]] = set()
+        with suppress(FileNotFoundError):
+            os.unlink(path)  # of a gateway that was killed
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.listener.setblocking(False)
+        try:
+            before = os.umask(0o177)  # whoever may read the record is the gateway's own user
+            try:
+                self.listener.bind(path)
+            finally:
+                os.umask(before)
+            self.listener.listen(16)
+        except OSError:
+            self.listener.close()
+            raise
+
+    def tell(self, happenings: Iterable[Happening]) -> None:
+        lines = [encode(happening_row(happening)) + b"\n" for happening in happenings]
+        for follower in self.followers:
+            for line in lines:
+                follower.tell(line)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.listener)
+            sock.setblocking(False)
+            if len(self.clients) >= MOST_CLIENTS:
+                self.counters.add("timeline", "views_refused")
+                sock.close()
+                continue
+            task = loop.create_task(self._client(sock))
+            self.clients.add(task)
+            task.add_done_callback(self.clients.discard)
+
+    async def _client(self, sock: socket.socket) -> None:
+        try:
+            async with asyncio.timeout(READ_S):
+                request = await self._request(sock)
+            await self._answer(sock, request)
+        except msgspec.MsgspecError as error:
+            with suppress(OSError, TimeoutError):
+                await self._write(sock, encode({"error": str(error)}) + b"\n")
+        except (OSError, TimeoutError):
+            self.counters.add("timeline", "views_broken")
+        finally:
+            sock.close()
+
+    async def _request(self, sock: socket.socket) -> Request:
+        loop, data, chunk = asyncio.get_running_loop(), bytearray(), bytearray(1024)
+        while b"\n" not in data:
+            if len(data) > MOST_REQUEST:
+                raise msgspec.ValidationError(f"a request of more than {MOST_REQUEST} bytes")
+            count = await loop.sock_recv_into(sock, chunk)
+            if not count:
+                raise ConnectionError("no request")
+            data += memoryview(chunk)[:count]
+        return msgspec.json.decode(bytes(data).partition(b"\n")[0], type=Request)
+
+    @staticmethod
+    async def _write(sock: socket.socket, data: bytes) -> None:
+        """Cancelled half-way it leaves half a message: every caller closes then."""
+        async with asyncio.timeout(WRITE_S):
+            await asyncio.get_running_loop().sock_sendall(sock, data)
+
+    async def _answer(self, sock: socket.socket, request: Request) -> None:
+        if request.what == "events" and request.follow:
+            await self._follow(sock, request)
+            return
+        batch = bytearray()
+        for number, row in enumerate(self._rows(request)):
+            if number >= MOST_ROWS:
+                batch += encode({"error": f"more than {MOST_ROWS} rows: ask for a shorter time"}) + b"\n"
+                break
+            batch += encode(row) + b"\n"
+            if number % BATCH == BATCH - 1:
+                await self._write(sock, bytes(batch))
+                batch.clear()
+                await asyncio.sleep(0)
+        await self._write(sock, bytes(batch))
+
+    def _rows(self, request: Request) -> Iterator[dict[str, Any]]:
+        timeline, engine = self.timeline, request.engine
+        match request.what:
+            case "engines":
+                yield from timeline.engines()
+            case "events":
+                for happening in list(timeline.happenings):
+                    if engine in (None, happening.engine) and happening.at_us >= request.since_us:
+                        yield happening_row(happening)
+            case "show" if request.level is None:
+                for row in timeline.record.rows(engine, request.since_us, request.until_us):
+                    yield {
+                        "at_us": row.at_us,
+                        "engine": row.engine,
+                        "kind": row.kind.name.lower(),
+                        "what": row.describe(timeline.classes),
+                    }
+            case "show" if engine is not None and request.level in (0, 1, 2):
+                for bucket in timeline.record.rolled_up(engine, request.level, request.since_us):
+                    yield bucket.summary()
+            case _:
+                yield {"error": f"no such request: {request.what}"}
+
+    async def _follow(self, sock: socket.socket, request: Request) -> None:
+        if len(self.followers) >= self.most_followers:
+            await self._write(sock, encode({"error": "as many followers as the file allows"}) + b"\n")
+            return
+        follower, loop = Follower(), asyncio.get_running_loop()
+        self.followers.add(follower)
+        gone = loop.create_task(self._gone(sock))
+        try:
+            for row in self._rows(request):
+                follower.tell(encode(row) + b"\n")
+            while not gone.done():
+                waiting = loop.create_task(follower.wanted.wait())
+                await asyncio.wait([waiting, gone], return_when=asyncio.FIRST_COMPLETED)
+                waiting.cancel()
+                follower.wanted.clear()
+                while follower.queue and not gone.done():
+                    data = b"".join(follower.queue)
+                    follower.queue.clear()
+                    if follower.missed:
+                        data += encode({"missed": follower.missed}) + b"\n"
+                        follower.missed = 0
+                    await self._write(sock, data)
+        finally:
+            self.followers.discard(follower)
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
+
+    @staticmethod
+    async def _gone(sock: socket.socket) -> None:
+        chunk = bytearray(64)
+        with suppress(OSError):
+            while await asyncio.get_running_loop().sock_recv_into(sock, chunk):
+                pass
+
+    def close(self) -> None:
+        self.listener.close()
+        for task in list(self.clients):
+            task.cancel()
--- /dev/null
+++ b/whintrail/timeline/plot.py
@@ -0,0 +1,107 @@
+"""Draws an incident from a store: one lane an engine. Needs matplotlib, which serving doesn't install."""
+
+from collections import defaultdict
+from datetime import UTC, datetime
+
+import matplotlib
+
+matplotlib.use("Agg")
+import matplotlib.dates as dates
+import matplotlib.pyplot as plt
+from matplotlib.axes import Axes
+from matplotlib.patches import Patch
+
+from whintrail import interface as api
+from whintrail.structures.sketch import Sketch
+from whintrail.timeline.kinds import OUTCOME_CODE, STATES, Happening, Kind, Row, Verdict
+from whintrail.timeline.store import Reader
+
+MOST_LANES = 40
+COLOURS = {
+    Verdict.STALLED: "#b2182b",
+    Verdict.SLOW: "#ef8a62",
+    Verdict.FAILING: "#762a83",
+    Verdict.FLAPPING: "#1b7837",
+    Verdict.COLD_AGAIN: "#2166ac",
+}
+OK = OUTCOME_CODE[api.Outcome.OK]
+MOVED = {OUTCOME_CODE[api.Outcome.CANCELLED], OUTCOME_CODE[api.Outcome.MOOT]}
+
+
+def moment(us: float) -> float:
+    return float(dates.date2num(datetime.fromtimestamp(us / 1e6, UTC)))  # type: ignore[no-untyped-call]
+
+
+def intervals(happenings: list[Happening], end_us: int) -> list[tuple[Verdict, int, int]]:
+    """Begin and end of each judgement; one that has no end yet lasts until `end_us`."""
+    begun: dict[Verdict, int] = {}
+    found = []
+    for happening in happenings:
+        if happening.begins:
+            begun[happening.verdict] = happening.since_us
+        elif happening.verdict in begun:
+            found.append((happening.verdict, begun.pop(happening.verdict), happening.since_us))
+    return found + [(verdict, since, end_us) for verdict, since in begun.items()]
+
+
+def draw(reader: Reader, engines: list[str], since: int, until: int, out: str) -> int:
+    """How many engines were drawn; 0 where there is nothing. Errors: OSError."""
+    rows: defaultdict[str, list[Row]] = defaultdict(list)
+    for name in engines or reader.engines()[:MOST_LANES]:
+        if found := list(reader.rows(name, since, until)):
+            rows[name] = found
+    if not rows:
+        return 0
+    begin = min(found[0].at_us for found in rows.values())
+    end = max(found[-1].at_us for found in rows.values())
+    figure, lanes = plt.subplots(
+        len(rows), 1, sharex=True, squeeze=False, figsize=(12, 1.0 + 1.5 * len(rows)), layout="constrained"
+    )
+    for axes, (name, found) in zip(lanes[:, 0], sorted(rows.items()), strict=True):
+        _lane(axes, name, found, list(reader.happenings(name, since, until)), begin, end)
+    lanes[-1, 0].xaxis.set_major_formatter(dates.DateFormatter("%H:%M:%S"))  # type: ignore[no-untyped-call]
+    lanes[-1, 0].set_xlabel("time (UTC); latency p50 to p95 in ms, logarithmic; grey: load; marks: no answer")
+    handles = [Patch(color=colour, alpha=0.35) for colour in COLOURS.values()]
+    names = [verdict.name.lower().replace("_", " ") for verdict in COLOURS]
+    figure.legend(handles, names, loc="outside upper center", ncols=len(names), frameon=False)
+    figure.savefig(out, dpi=110)
+    plt.close(figure)
+    return len(rows)
+
+
+def _lane(axes: Axes, name: str, rows: list[Row], happenings: list[Happening], begin: int, end: int) -> None:
+    step = max(500_000, (end - begin) // 240)
+    latency: defaultdict[int, Sketch] = defaultdict(Sketch)
+    bad: list[float] = []
+    loads: list[tuple[float, float]] = []
+    for row in rows:
+        if row.kind is Kind.ENDED and row.code == OK:
+            latency[(row.at_us - begin) // step].add(row.b)
+        elif row.kind is Kind.ENDED and row.code not in MOVED:
+            bad.append(moment(row.at_us))
+        elif row.kind is Kind.REPORTED:
+            loads.append((moment(row.at_us), row.a))
+    for verdict, since, until in intervals(happenings, end):
+        axes.axvspan(moment(max(since, begin)), moment(min(until, end)), color=COLOURS[verdict], alpha=0.35)
+    places = sorted(latency)
+    at = [moment(begin + place * step + step / 2) for place in places]
+    low = [max(0.1, latency[place].quantile(0.5)) for place in places]
+    high = [max(0.1, latency[place].quantile(0.95)) for place in places]
+    axes.fill_between(at, low, high, color="#4393c3", alpha=0.6, linewidth=0)
+    axes.plot(at, low, color="#2166ac", linewidth=0.8)
+    axes.set_yscale("log")
+    axes.set_xlim(moment(begin), moment(end))
+    if bad:
+        axes.plot(
+            bad, [0.97] * len(bad), "|", color="black", transform=axes.get_xaxis_transform(), markersize=5
+        )
+    if loads:
+        beside = axes.twinx()
+        beside.step(*zip(*loads, strict=True), color="grey", linewidth=0.7, where="post")
+        beside.set_ylim(bottom=0)
+        beside.tick_params(labelsize=6)
+    for row in rows:
+        if row.kind is Kind.LISTED and STATES[row.code] is not api.EngineState.READY:
+            axes.axvline(moment(row.at_us), color="black", linestyle=":", linewidth=1)
+    axes.set_ylabel(name, rotation=0, ha="right", va="center", fontsize=8)
+    axes.tick_params(labelsize=6)
