--- a/whintrail/timeline/columns.py
+++ b/whintrail/timeline/columns.py
@@ -89,7 +89,18 @@
         first = self.chunks[0].first
         gone, at, found = max(0, first - number), max(first, number), list[RawRow]()
         for chunk in self.chunks:
-            while at - chunk.first < len(chunk) and at >= chunk.first and len(found) < most:
-                found.append(chunk.row(at - chunk.first))
-                at += 1
+            begin = at - chunk.first
+            if 0 <= begin < len(chunk) and len(found) < most:
+                end = min(len(chunk), begin + most - len(found))
+                codes = chunk.codes[begin:end]
+                columns = (
+                    chunk.times[begin:end],
+                    chunk.slots[begin:end],
+                    [code >> 8 for code in codes],
+                    [code & 0xFF for code in codes],
+                    chunk.a[begin:end],
+                    chunk.b[begin:end],
+                )
+                found += zip(*columns, strict=True)
+                at = chunk.first + end
         return found, at, gone
--- a/whintrail/timeline/record.py
+++ b/whintrail/timeline/record.py
@@ -40,6 +40,7 @@
 
     def __init__(self, memory_bytes: int, raw_us: int) -> None:
         self.raw_us = raw_us
+        memory_bytes = memory_bytes * 9 // 10  # the rest is what Python's allocator and dicts leave unused
         self.columns = Columns(memory_bytes // 2)
         self.rest = memory_bytes - memory_bytes // 2
         self.tracks: dict[str, Track] = {}
