Import the store and the live view only where the file asks for them; gaps in plots stay gaps

Cause: with the time line on and no store the gateway held 7 MB more when idle, most of it the store's libraries; a plot drew latency across a stall. Change: keeper imports both when it opens them; StoreOff stands in timeline/errors.py. Measured: tests of store and time line pass; a drawn stall shows no line.

--- a/whintrail/timeline/keeper.py
+++ b/whintrail/timeline/keeper.py
@@ -8,16 +8,19 @@
 import os
 from collections.abc import Callable, Generator, Iterable
 from contextlib import suppress
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from whintrail.background import Plan, Priority, Runner
 from whintrail.config import OperatorFile, Watch
 from whintrail.config import Timeline as TimelineSettings
 from whintrail.timeline.core import Timeline
+from whintrail.timeline.errors import StoreOff
 from whintrail.timeline.judge import Thresholds
 from whintrail.timeline.kinds import Happening
-from whintrail.timeline.live import Live
-from whintrail.timeline.store import StoreOff, Writer
+
+if TYPE_CHECKING:  # what the file doesn't ask for is not imported: the store's libraries take 4 MB
+    from whintrail.timeline.live import Live
+    from whintrail.timeline.store import Writer
 
 MEGABYTE = 1 << 20
 Work = Generator[None, None, None]
@@ -79,6 +82,8 @@
         if self.settings.store is not None:
             self._open_store()
         if self.settings.socket is not None:
+            from whintrail.timeline.live import Live
+
             try:
                 self.live = Live(self.settings.socket, self.timeline, self.settings.followers, self.counters)
                 self.tasks.append(loop.create_task(self.live.run()))
@@ -86,6 +91,8 @@
                 self.log.line("timeline", f"no live view at {self.settings.socket}: {error}")
 
     def _open_store(self) -> None:
+        from whintrail.timeline.store import Writer
+
         store = self.settings.store
         assert store is not None
         try:
@@ -142,7 +149,7 @@
         finally:
             self.busy.discard(name)
 
-    async def _write(self, writer: Writer) -> None:
+    async def _write(self, writer: "Writer") -> None:
         store = self.settings.store
         assert store is not None
         turn = 0
@@ -155,7 +162,7 @@
             if turn % 30 == 0:
                 self._submit("clear", Priority.DELETE, writer.clear())
 
-    async def _sync(self, writer: Writer) -> None:
+    async def _sync(self, writer: "Writer") -> None:
         """A disk's sync may take seconds: it waits on a thread, and stalls nobody."""
         store = self.settings.store
         assert store is not None
--- a/whintrail/timeline/plot.py
+++ b/whintrail/timeline/plot.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from datetime import UTC, datetime
+from math import nan
 
 import matplotlib
 
@@ -83,10 +84,11 @@
             loads.append((moment(row.at_us), row.a))
     for verdict, since, until in intervals(happenings, end):
         axes.axvspan(moment(max(since, begin)), moment(min(until, end)), color=COLOURS[verdict], alpha=0.35)
-    places = sorted(latency)
+    places = range(min(latency), max(latency) + 1) if latency else range(0)
     at = [moment(begin + place * step + step / 2) for place in places]
-    low = [max(0.1, latency[place].quantile(0.5)) for place in places]
-    high = [max(0.1, latency[place].quantile(0.95)) for place in places]
+    # A time without an answer is a gap, not a line drawn across it.
+    low = [max(0.1, latency[p].quantile(0.5)) if p in latency else nan for p in places]
+    high = [max(0.1, latency[p].quantile(0.95)) if p in latency else nan for p in places]
     axes.fill_between(at, low, high, color="#4393c3", alpha=0.6, linewidth=0)
     axes.plot(at, low, color="#2166ac", linewidth=0.8)
     axes.set_yscale("log")
--- a/whintrail/timeline/store/writer.py
+++ b/whintrail/timeline/store/writer.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from whintrail.timeline.core import Timeline
+from whintrail.timeline.errors import StoreOff
 from whintrail.timeline.kinds import Happening
 from whintrail.timeline.store import frames
 from whintrail.timeline.store.frames import FrameError
@@ -22,10 +23,6 @@
 STORED_LEVELS = (1, 2)  # roll-ups that are kept on disk: 10 s and 1 min
 
 
-class StoreOff(Exception):
-    """The disk can't be used: the reason."""
-
-
 def segment_number(path: Path) -> int:
     return int(path.stem) if path.stem.isdigit() else 0
 
