Drop a second form of the judge's rows that nothing used, and wait for a gateway in one place

Cause: read over the whole change: keeper.summary repeated live.happening_row and had no caller, two benchmarks each had their own loop that waits for the start. Change: the first is gone, the second stands in standins/load.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -17,7 +17,7 @@
 
 from benchmarks.faults import LoadPort
 from whintrail.standins.fleet import Fleet
-from whintrail.standins.load import Load, LoadClient
+from whintrail.standins.load import Load, until_serves
 
 TICKS = os.sysconf("SC_CLK_TCK")
 MIX = [("lookup", 5.0, 1.0)]
@@ -55,15 +55,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "whintrail", env=environment, stderr=asyncio.subprocess.DEVNULL
         )
-        for _ in range(200):
-            client = LoadClient(self.port)
-            try:
-                await client.open()
-                break
-            except OSError:
-                await asyncio.sleep(0.05)
-            finally:
-                client.close()
+        await until_serves(self.port)
 
     async def measure(self, rate: float, seconds: float, seed: int) -> float:
         """CPU microseconds a request."""
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from whintrail.standins.fleet import Fault, Fleet
-from whintrail.standins.load import Load, LoadClient
+from whintrail.standins.load import Load, until_serves
 from whintrail.timeline.kinds import Happening, Verdict
 from whintrail.timeline.store import Reader
 
@@ -61,15 +61,7 @@
             sys.executable, "-m", "whintrail", env=environment, stderr=log
         )
     try:
-        for _ in range(200):
-            client = LoadClient(port)
-            try:
-                await client.open()
-                break
-            except OSError:
-                await asyncio.sleep(0.05)
-            finally:
-                client.close()
+        await until_serves(port)
         load = Load(port, rate, MIX, seed)
         tasks = [asyncio.create_task(load.run(seconds))]
         for begin, length, index, what, value in story:
--- a/whintrail/standins/load.py
+++ b/whintrail/standins/load.py
@@ -108,3 +108,17 @@
         for client in self.free:
             client.close()
         self.free.clear()
+
+
+async def until_serves(port: int, tries: int = 200) -> bool:
+    """Connect until the gateway answers a start-up; False if it never does."""
+    for _ in range(tries):
+        client = LoadClient(port)
+        try:
+            await client.open()
+            return True
+        except OSError:
+            await asyncio.sleep(0.05)
+        finally:
+            client.close()
+    return False
--- a/whintrail/timeline/keeper.py
+++ b/whintrail/timeline/keeper.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import os
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Callable, Generator
 from contextlib import suppress
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,7 +16,6 @@
 from whintrail.timeline.core import Timeline
 from whintrail.timeline.errors import StoreOff
 from whintrail.timeline.judge import Thresholds
-from whintrail.timeline.kinds import Happening
 
 if TYPE_CHECKING:  # what the file doesn't ask for is not imported: the store's libraries take 4 MB
     from whintrail.timeline.live import Live
@@ -209,18 +208,3 @@
         if self.settings.socket is not None and self.live is not None:
             with suppress(OSError):
                 os.unlink(self.settings.socket)
-
-
-def summary(happenings: Iterable[Happening]) -> list[dict[str, object]]:
-    """Happenings as rows for a table or JSON."""
-    return [
-        {
-            "at_us": happening.at_us,
-            "engine": happening.engine,
-            "event": happening.verdict.name.lower().replace("_", " "),
-            "begins": happening.begins,
-            "since_us": happening.since_us,
-            **happening.evidence,
-        }
-        for happening in happenings
-    ]
