--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -337,7 +337,7 @@
             return True
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
-        able, cls, known = self._able(engine), query.cls, [c for c in self.classes.values() if c.seen]
+        able, cls, known = self._able(engine), query.cls, self.classes.values()
         full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / self.fleet
         work = cls.cost.value * cls.told_usual or full * able  # a few bad plans are not what all are like
         if engine.load is not None and self.now - engine.report_at <= s.tip_after_us / 2:
