--- /dev/null
+++ b/whintrail/cli/fleet.py
@@ -0,0 +1,221 @@
+"""`whintrail fleet`: drains, restarts and releases on which the gateways agree, asked of a running one."""
+
+import sys
+from itertools import pairwise
+from typing import Any
+
+import click
+
+from whintrail.cli.output import emit, format_option
+from whintrail.control.lines import LinesError, ask_lines
+
+EXIT_REFUSED, EXIT_LATER = 3, 4  # 1 and 2 are those of every sub-command
+MEMBERS = ["member", "state", "out", "build", "zone", "since_s"]
+
+socket_option = click.option(
+    "--socket",
+    "path",
+    type=click.Path(),
+    envvar="WHINTRAIL_FLEET_SOCKET",
+    required=True,
+    help="A gateway's fleet.socket. Default: $WHINTRAIL_FLEET_SOCKET.",
+)
+why_option = click.option("--why", default="", help="For the record, 64 characters at most.")
+wait_option = click.option(
+    "--wait-s", type=click.FloatRange(0.1, 86_400), default=5.0, show_default=True, help="At most so long."
+)
+
+
+def rows(path: str, patience_s: float = 10.0, **request: Any) -> list[dict[str, Any]]:
+    """Errors: ClickException."""
+    try:
+        return list(ask_lines(path, request, patience_s))
+    except LinesError as error:
+        raise click.ClickException(str(error)) from error
+
+
+def settle(path: str, form: str, wait_s: float, done: str, **request: Any) -> int:
+    """Ask for a change and print its outcome; the exit code: 0 done, 3 refused, 4 not within the time."""
+    found = rows(path, wait_s + 5, wait_s=wait_s, **request)
+    if not found:
+        raise click.ClickException("the gateway ended before it answered")
+    row = found[0]
+    if form == "json":
+        emit([row], [], form)
+    elif row["word"] == "done":
+        fence = f" (fence {row['fence']})" if row["fence"] else ""
+        click.echo(f"{done}{fence}{': ' + row['text'] if row['text'] else ''}")
+    else:
+        click.echo(f"whintrail: {row['word']}: {row['text'] or 'no answer'}", err=True)
+    return {"done": 0, "refused": EXIT_REFUSED}.get(row["word"], EXIT_LATER)
+
+
+@click.group()
+def fleet() -> None:
+    """Drains, restarts and releases on which the gateways agree.
+
+    \b
+    Examples:
+      whintrail fleet status --socket /run/whintrail/fleet.sock
+      whintrail fleet drain s-12 --why "disk swap" --limit-s 600 --undo
+      whintrail fleet may-restart --wait-s 300 --stop     for a supervisor
+      whintrail fleet release start b42 --steps 0.02,0.1,0.5,1
+
+    \b
+    Exit codes: 0 done; 1 not reached; 2 wrong usage; 3 refused; 4 not within the time.
+    """
+
+
+@fleet.command()
+@socket_option
+@format_option
+def status(path: str, form: str) -> int:
+    """What is agreed, as this gateway knows it; the leader also tells who is out."""
+    row = rows(path, what="status")[0]
+    if form == "json":
+        emit([row], [], form)
+    else:
+        for name, value in row.items():
+            if isinstance(value, dict):
+                value = ", ".join(f"{key}: {what}" for key, what in value.items()) or "none"
+            click.echo(f"{name:10} {'-' if value is None else value}")
+    return 0
+
+
+@fleet.command()
+@socket_option
+@format_option
+def members(path: str, form: str) -> int:
+    """Every gateway as this one sees it; builds and zones are known to the leader."""
+    emit(rows(path, what="members"), MEMBERS, form)
+    return 0
+
+
+@fleet.command()
+@click.argument("engine")
+@why_option
+@click.option("--limit-s", type=click.IntRange(0), default=0, help="A drain not done by then; 0: none.")
+@click.option("--undo", is_flag=True, help="Past its limit it undoes itself; else it holds.")
+@wait_option
+@socket_option
+@format_option
+def drain(engine: str, why: str, limit_s: int, undo: bool, wait_s: float, path: str, form: str) -> int:
+    """No gateway sends anything new to an engine. Answered once agreed; `status` tells when it is done."""
+    request = {"what": "drain", "engine": engine, "why": why, "limit_s": limit_s, "undo": undo}
+    return settle(path, form, wait_s, f"{engine} is drained", **request)
+
+
+@fleet.command()
+@click.argument("engine")
+@why_option
+@wait_option
+@socket_option
+@format_option
+def undrain(engine: str, why: str, wait_s: float, path: str, form: str) -> int:
+    """The way back of `drain`."""
+    return settle(path, form, wait_s, f"{engine} is back", what="undrain", engine=engine, why=why)
+
+
+@fleet.command("may-restart")
+@click.option("--wait-s", type=click.FloatRange(0.1, 86_400), default=0.0, help="Wait so long for a slot.")
+@click.option("--stop", is_flag=True, help="With the slot, the gateway stops at once, as on SIGTERM.")
+@socket_option
+@format_option
+def may_restart(wait_s: float, stop: bool, path: str, form: str) -> int:
+    """Whether the gateway behind the socket may be restarted now: a slot with its fencing number.
+
+    Without --stop the caller sends SIGTERM within the time that the answer gives; later, the slot is given
+    back and the stop counts as one without a slot.
+    """
+    request = {"what": "may-restart", "wait": wait_s > 0, "stop": stop}
+    return settle(path, form, wait_s or 2.0, "it may restart", **request)
+
+
+@fleet.command("give-up")
+@click.argument("member", type=click.IntRange(0))
+@wait_option
+@socket_option
+@format_option
+def give_up(member: int, wait_s: float, path: str, form: str) -> int:
+    """Free the slot of a gateway that will not come back under its own power."""
+    return settle(path, form, wait_s, f"n{member} holds no slot", what="give-up", member=member)
+
+
+@fleet.group()
+def release() -> None:
+    """A release in steps: each compares the new build with the old one, and goes on, waits or halts."""
+
+
+def read_steps(text: str) -> tuple[float, ...]:
+    try:
+        return tuple(float(part) for part in text.split(","))
+    except ValueError as error:
+        raise click.UsageError(f"--steps: {text!r} is no list of shares, as 0.02,0.1,0.5,1") from error
+
+
+def check_steps(steps: tuple[float, ...]) -> None:
+    """Errors: UsageError."""
+    rising = all(a < b for a, b in pairwise(steps))
+    if not rising or steps[0] <= 0 or steps[-1] != 1 or len(steps) > 8:
+        raise click.UsageError("--steps: at most eight shares, rising to 1")
+
+
+@release.command()
+@click.argument("build")
+@click.option("--steps", default="0.02,0.1,0.5,1", show_default=True, help="Shares of the fleet on it.")
+@click.option("--fleet-size", type=click.IntRange(1), default=200, show_default=True)
+def plan(build: str, steps: str, fleet_size: int) -> int:
+    """How many gateways each step would put on the build; asks nobody."""
+    shares = read_steps(steps)
+    check_steps(shares)
+    table = [
+        {"step": place + 1, "share": share, "gateways": max(1, -(-round(share * 1000) * fleet_size // 1000))}
+        for place, share in enumerate(shares)
+    ]
+    click.echo(f"to {build}")
+    emit(table, ["step", "share", "gateways"], "table")
+    return 0
+
+
+@release.command()
+@click.argument("build")
+@click.option("--steps", default="0.02,0.1,0.5,1", show_default=True, help="Shares of the fleet on it.")
+@why_option
+@wait_option
+@socket_option
+@format_option
+def start(build: str, steps: str, why: str, wait_s: float, path: str, form: str) -> int:
+    """Begin a release; supervisors then get their slots by `may-restart`."""
+    shares = read_steps(steps)
+    check_steps(shares)
+    request = {"what": "release", "build": build, "steps": shares, "why": why}
+    return settle(path, form, wait_s, f"release to {build}", **request)
+
+
+def turning(name: str, text: str, done: str) -> None:
+    @release.command(name, help=text)
+    @why_option
+    @wait_option
+    @socket_option
+    @format_option
+    def turn(why: str, wait_s: float, path: str, form: str) -> int:
+        return settle(path, form, wait_s, done, what=name, why=why)
+
+
+turning("halt", "Nothing more goes out for the release.", "halted")
+turning("resume", "Go on with a halted release.", "resumed")
+turning("back", "Return to the old build, in the same slots.", "it goes back")
+
+
+@fleet.command()
+@socket_option
+@format_option
+def watch(path: str, form: str) -> int:
+    """What is decided, as it is decided, until interrupted."""
+    try:
+        for row in ask_lines(path, {"what": "watch"}, None):
+            emit([row], ["at", "event", *[key for key in row if key not in ("at", "event")]], form)
+            sys.stdout.flush()
+    except LinesError as error:
+        raise click.ClickException(str(error)) from error
+    return 0
--- a/whintrail/cli/root.py
+++ b/whintrail/cli/root.py
@@ -14,6 +14,7 @@
     "demo": "whintrail.cli.demo:demo",
     "check": "whintrail.cli.check:check",
     "timeline": "whintrail.cli.timeline:timeline",
+    "fleet": "whintrail.cli.fleet:fleet",
 }
 
 
--- a/whintrail/cli/timeline.py
+++ b/whintrail/cli/timeline.py
@@ -1,7 +1,6 @@
 """`whintrail timeline`: what engines went through, from a running gateway or from its store."""
 
 import re
-import socket
 import sys
 import time
 from collections.abc import Iterator
@@ -13,6 +12,7 @@
 import msgspec
 
 from whintrail.cli.output import emit, format_option
+from whintrail.control.lines import LinesError, ask_lines
 from whintrail.timeline.kinds import Row
 from whintrail.timeline.live import happening_row
 from whintrail.timeline.store import Reader
@@ -49,19 +49,10 @@
 
 def ask(path: str, **request: Any) -> Iterator[dict[str, Any]]:
     """Rows from the live view. Errors: ClickException."""
-    with socket.socket(socket.AF_UNIX) as sock:
-        sock.settimeout(None if request.get("follow") else 10.0)
-        try:
-            sock.connect(path)
-            sock.sendall(msgspec.json.encode(request) + b"\n")
-            with sock.makefile("rb") as file:
-                for line in file:
-                    row = msgspec.json.decode(line)
-                    if "error" in row:
-                        raise click.ClickException(row["error"])
-                    yield row
-        except OSError as error:
-            raise click.ClickException(f"{path}: {error}") from error
+    try:
+        yield from ask_lines(path, request, None if request.get("follow") else 10.0)
+    except LinesError as error:
+        raise click.ClickException(str(error)) from error
 
 
 def open_store(directory: str) -> Reader:
--- a/whintrail/config/reading.py
+++ b/whintrail/config/reading.py
@@ -6,7 +6,7 @@
 import msgspec
 import rjsonnet
 
-from whintrail.config.records import OperatorFile
+from whintrail.config.records import Fleet, OperatorFile
 
 VARIABLE = "WHINTRAIL_FILE"
 MOST_BYTES = 1 << 20
@@ -47,6 +47,8 @@
 
 def _agree(path: str, given: OperatorFile) -> None:
     """What no single value shows: values that contradict one another."""
+    if given.fleet is not None:
+        _agree_fleet(path, given.fleet)
     timeline = given.timeline
     if timeline is None or timeline.store is None:
         return
@@ -56,3 +58,13 @@
             f"{path}: $.timeline.store.keep_mb: {store.keep_mb:g} holds fewer than two segments"
             f" of {store.segment_mb:g} MB: the one that is written could not be kept"
         )
+
+
+def _agree_fleet(path: str, fleet: Fleet) -> None:
+    if len(set(fleet.council)) != len(fleet.council) or len(fleet.council) not in (1, 3, 5, 7):
+        raise OperatorFileError(f"{path}: $.fleet.council: 1, 3, 5 or 7 different gateways")
+    if fleet.quarantine_s < 2 * fleet.use_within_s:
+        raise OperatorFileError(
+            f"{path}: $.fleet.quarantine_s: {fleet.quarantine_s:g} is under twice use_within_s: a council"
+            " that forgot could grant a slot while one that it granted before is still used"
+        )
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -56,8 +56,42 @@
     followers: Annotated[int, Meta(ge=1, le=64)] = 8
 
 
+class Out(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """How much may be out at a time: a count, or below 1 a share; in all and in a zone."""
+
+    gateways: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
+    gateways_a_zone: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
+    engines: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
+    engines_a_zone: Annotated[float, Meta(gt=0.0, le=1000.0)] = 1.0
+
+
+class Worse(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """When a new build counts as worse than the old one, and how sure the release wants to be."""
+
+    times: Annotated[float, Meta(ge=1.1, le=100.0)] = 2.0
+    least: Annotated[float, Meta(ge=0.001, le=0.5)] = 0.03
+    halted_wrongly: Annotated[float, Meta(gt=0.0, le=0.2)] = 0.01
+    passed_wrongly: Annotated[float, Meta(gt=0.0, le=0.2)] = 0.05
+    least_queries: Annotated[int, Meta(ge=1, le=1_000_000)] = 50
+
+
+class Fleet(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    council: Annotated[tuple[Annotated[int, Meta(ge=0, le=0xFFFF)], ...], Meta(min_length=1, max_length=7)]
+    build: Annotated[str, Meta(max_length=24)] = ""  # of this gateway's program; $WHINTRAIL_BUILD wins
+    out: Out = Out()
+    worse: Worse = Worse()
+    use_within_s: Annotated[float, Meta(ge=0.5, le=60.0)] = 1.5  # a slot
+    proven_s: Annotated[float, Meta(ge=0.1, le=3600.0)] = 3.0  # a new process has to have served so long
+    quarantine_s: Annotated[float, Meta(ge=1.0, le=3600.0)] = 4.0  # before a council that forgot begins anew
+    messages_per_s: Annotated[float, Meta(ge=50.0, le=100_000.0)] = 400.0
+    bytes_per_s: Annotated[float, Meta(ge=5_000.0, le=1e9)] = 40_000.0
+    socket: Annotated[str, Meta(min_length=1, max_length=100)] | None = None  # of `whintrail fleet`
+
+
 class OperatorFile(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1] = 1
     logging: Logging = Logging()
     background: Background = Background()
     timeline: Timeline | None = None  # absent: off
+    fleet: Fleet | None = None  # absent: off
--- /dev/null
+++ b/whintrail/control/lines.py
@@ -0,0 +1,127 @@
+"""A Unix socket that answers one JSON line with JSON lines, and its client.
+
+Sizes are bounded before memory is taken; a client that doesn't read holds up nobody: one that takes nothing
+for seconds is hung up on.
+"""
+
+import asyncio
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import suppress
+from typing import Any, Protocol
+
+import msgspec
+
+MOST_REQUEST, MOST_CLIENTS = 4096, 32
+WRITE_S, READ_S = 5.0, 5.0
+encode = msgspec.json.encode
+
+
+class Counts(Protocol):
+    def add(self, group: str, name: str, count: int = 1) -> None: ...
+
+
+class LineServer:
+    """Errors of the constructor: OSError where the socket can't be had."""
+
+    request_type: type[Any] = dict
+    group = "control"  # of its counters
+
+    def __init__(self, path: str, counters: Counts) -> None:
+        self.counters = counters
+        self.clients: set[asyncio.Task[None]] = set()
+        with suppress(FileNotFoundError):
+            os.unlink(path)  # of a gateway that was killed
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.listener.setblocking(False)
+        try:
+            before = os.umask(0o177)  # whoever may read and steer is the gateway's own user
+            try:
+                self.listener.bind(path)
+            finally:
+                os.umask(before)
+            self.listener.listen(16)
+        except OSError:
+            self.listener.close()
+            raise
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.listener)
+            sock.setblocking(False)
+            if len(self.clients) >= MOST_CLIENTS:
+                self.counters.add(self.group, "views_refused")
+                sock.close()
+                continue
+            task = loop.create_task(self._client(sock))
+            self.clients.add(task)
+            task.add_done_callback(self.clients.discard)
+
+    async def _client(self, sock: socket.socket) -> None:
+        try:
+            async with asyncio.timeout(READ_S):
+                request = await self._request(sock)
+            await self.answer(sock, request)
+        except msgspec.MsgspecError as error:
+            with suppress(OSError, TimeoutError):
+                await self.write(sock, encode({"error": str(error)}) + b"\n")
+        except (OSError, TimeoutError):
+            self.counters.add(self.group, "views_broken")
+        finally:
+            sock.close()
+
+    async def _request(self, sock: socket.socket) -> Any:
+        loop, data, chunk = asyncio.get_running_loop(), bytearray(), bytearray(1024)
+        while b"\n" not in data:
+            if len(data) > MOST_REQUEST:
+                raise msgspec.ValidationError(f"a request of more than {MOST_REQUEST} bytes")
+            count = await loop.sock_recv_into(sock, chunk)
+            if not count:
+                raise ConnectionError("no request")
+            data += memoryview(chunk)[:count]
+        return msgspec.json.decode(bytes(data).partition(b"\n")[0], type=self.request_type)
+
+    @staticmethod
+    async def write(sock: socket.socket, data: bytes) -> None:
+        """Cancelled half-way it leaves half a message: every caller closes then."""
+        async with asyncio.timeout(WRITE_S):
+            await asyncio.get_running_loop().sock_sendall(sock, data)
+
+    async def answer(self, sock: socket.socket, request: Any) -> None:
+        raise NotImplementedError
+
+    @staticmethod
+    async def gone(sock: socket.socket) -> None:
+        """Returns once the client has hung up."""
+        chunk = bytearray(64)
+        with suppress(OSError):
+            while await asyncio.get_running_loop().sock_recv_into(sock, chunk):
+                pass
+
+    def close(self) -> None:
+        self.listener.close()
+        for task in list(self.clients):
+            task.cancel()
+
+
+class LinesError(Exception):
+    """What the other side said, or why it could not be reached. One line."""
+
+
+def ask_lines(path: str, request: dict[str, Any], wait_s: float | None = 10.0) -> Iterator[dict[str, Any]]:
+    """The rows that a running gateway answers. Errors: LinesError."""
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(wait_s)
+        try:
+            sock.connect(path)
+            sock.sendall(encode(request) + b"\n")
+            with sock.makefile("rb") as file:
+                for line in file:
+                    row = msgspec.json.decode(line)
+                    if "error" in row:
+                        raise LinesError(row["error"])
+                    yield row
+        except OSError as error:
+            raise LinesError(f"{path}: {error}") from error
--- /dev/null
+++ b/whintrail/fleet/membership.py
@@ -0,0 +1,352 @@
+"""Who is there: SWIM with Lifeguard's suspicion, sans-I/O.
+
+Each period a member asks one other whether it lives, in turn through all of them, in an order of its own.
+Without an answer it has others ask; without theirs it suspects, and tells so with what it sends anyway. A
+suspect has time to refute. Lifeguard (Dadgar, Phillips, Currey: "Lifeguard: Local Health Awareness for More
+Accurate Failure Detection", 2017) makes one who is itself slow distrust itself: its waits grow with its own
+failures, and a suspicion's time starts long and shrinks as others confirm it.
+
+The list of members is given: there is nothing to join. A process is known by its birth, drawn at random at
+its start, and its incarnation, which only it raises. Times are monotonic, in microseconds.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from random import Random
+
+from whintrail.fleet.wire import Ack, Leaving, Message, Nack, Note, Ping, PingAsk, Update
+
+MOST_INCARNATION = 0xFFFFFFFF
+MOST_GOSSIP = 6
+
+
+class Life(IntEnum):
+    """Of one incarnation, what comes later overrides."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    GONE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How fast and how patient. Microseconds and counts."""
+
+    period_us: int = 1_000_000
+    answer_us: int = 300_000
+    helpers: int = 3
+    suspect_factor: float = 2.0  # times log10 of the members, in periods: the least time of a suspicion
+    suspect_most: float = 3.0  # times that, before others confirm
+    confirmations: int = 3
+    retell: float = 3.0  # times log10 of the members: how often an update is told
+    most_slow: int = 8  # of our own slowness, as Lifeguard counts it
+    lifeguard: bool = True
+    paused_us: int = 700_000  # a turn so late shows that we did not run
+    lost_every_us: int = 3_000_000  # how often one of the lost is looked for
+
+
+@dataclass(slots=True)
+class Member:
+    number: int
+    life: Life = Life.GONE  # until it is heard of
+    incarnation: int = 0
+    birth: int = 0  # 0: never heard of
+    since: int = 0
+    suspect_until: int = 0
+    suspectors: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Probe:
+    """We asked and wait. `origin` is for whom, where another asked us to."""
+
+    target: int
+    until: int
+    last: int  # when the period is over
+    helped: bool = False
+    nacks: int = 0
+    origin: int | None = None
+    origin_seq: int = 0
+
+
+Change = tuple[int, Life, Life]  # member, before, now
+
+
+class Membership:
+    """Give it what comes and `tick` it; take `out` (target, message) and `changes`."""
+
+    def __init__(
+        self,
+        me: int,
+        count: int,
+        birth: int,
+        incarnation: int,
+        now: int,
+        random: Random,
+        pace: Pace | None = None,
+        note: Callable[[], Note] | None = None,
+    ) -> None:
+        self.me, self.birth, self.random, self.pace = me, birth, random, pace or Pace()
+        self.note = note or (lambda: Note((0, 0, 0), 0, -1, 0))
+        self.members = [Member(number) for number in range(count)]
+        self.mine = self.members[me]
+        self.mine.life, self.mine.birth, self.mine.since = Life.ALIVE, birth, now
+        self.mine.incarnation = max(1, incarnation & MOST_INCARNATION)
+        self.out: list[tuple[int, Message]] = []
+        self.changes: list[Change] = []
+        self.news: dict[int, int] = {me: 0}  # members of whom to tell, and how often it was told
+        self.probes: dict[int, Probe] = {}
+        self.seq, self.slow = random.getrandbits(31), 0
+        self.order = [number for number in range(count) if number != me]  # at first all, known or not
+        random.shuffle(self.order)
+        self.next_at = now + random.randrange(self.pace.period_us)
+        self.lost_at, self.ticked = now, now
+        self.refuted = 0
+        self.removals = 0
+
+    # --- What others ask of us.
+
+    def alive(self, number: int) -> bool:
+        return self.members[number].life is Life.ALIVE
+
+    def count(self, life: Life) -> int:
+        return sum(member.life is life for member in self.members)
+
+    # --- In.
+
+    def heard(self, now: int, origin: int, birth: int, incarnation: int, message: Message) -> bool:
+        """A datagram of another member, of any kind, is the best sign of its life. False where it comes of
+        a process that has a successor: what it says holds no more."""
+        if not self._direct(now, origin, birth, incarnation):
+            return False
+        match message:
+            case Ping(seq, _, gossip):
+                self._gossip(now, origin, gossip)
+                self._say(origin, Ack(seq, self.note(), self._news(origin)))
+            case Ack(seq, _, gossip):
+                self._gossip(now, origin, gossip)
+                self._acked(origin, seq)
+            case PingAsk(seq, target):
+                if target < len(self.members) and target != self.me:
+                    end = now + self.pace.answer_us
+                    self._ping(target, Probe(target, end, end, origin=origin, origin_seq=seq))
+            case Nack(seq):
+                if probe := self.probes.get(seq):
+                    probe.nacks += 1
+            case Leaving():
+                self._learn(now, origin, Update(origin, Life.LEAVING, incarnation, birth))
+        return True
+
+    def _acked(self, origin: int, seq: int) -> None:
+        probe = self.probes.get(seq)
+        if probe is None:
+            return
+        if probe.origin is not None:  # what it answered us, we pass on
+            del self.probes[seq]
+            if probe.origin == self.me:
+                return
+            note, target = self.note(), self.members[probe.target]
+            told = (Update(target.number, target.life, target.incarnation, target.birth),)
+            self._say(probe.origin, Ack(probe.origin_seq, note, told))
+            return
+        del self.probes[seq]  # by itself or through a helper
+        self.slow = max(0, self.slow - 1)
+
+    def _direct(self, now: int, origin: int, birth: int, incarnation: int) -> bool:
+        member = self.members[origin]
+        if birth != member.birth:
+            if member.birth and incarnation <= member.incarnation:  # late, or its clock went back:
+                self._tell_of(origin, member)  # told so, the living one raises its incarnation
+                return False
+            self._set(now, member, Life.ALIVE, incarnation, birth)
+        elif incarnation > member.incarnation:
+            self._set(now, member, Life.ALIVE, incarnation, birth)
+        elif incarnation == member.incarnation and member.life in (Life.SUSPECT, Life.GONE):
+            self._tell_of(origin, member)  # it may refute; nobody else may for it
+        return True
+
+    def _tell_of(self, target: int, member: Member) -> None:
+        update = Update(member.number, member.life, member.incarnation, member.birth)
+        self.seq = (self.seq + 1) & 0x7FFFFFFF
+        self._say(target, Ping(self.seq, self.note(), (update,)))
+
+    def _gossip(self, now: int, origin: int, gossip: Iterable[Update]) -> None:
+        for update in gossip:
+            if update.number < len(self.members):
+                self._learn(now, origin, update)
+
+    def _learn(self, now: int, origin: int, update: Update) -> None:
+        number, life, incarnation, birth = update.number, Life(update.state), update.incarnation, update.birth
+        if birth == 0:
+            return
+        member = self.members[number]
+        if number == self.me:
+            other = birth != self.birth and incarnation >= member.incarnation
+            if other or (birth == self.birth and life > member.life and incarnation >= member.incarnation):
+                member.incarnation = min(incarnation + 1, MOST_INCARNATION)
+                self.news[number] = 0
+                self.refuted += 1
+                if not other and self.pace.lifeguard:
+                    self._slower()  # we were taken for dead: we may be the slow one
+            return
+        if birth != member.birth:
+            if incarnation > member.incarnation:
+                self._set(now, member, life, incarnation, birth, origin)
+            return
+        if incarnation > member.incarnation or (incarnation == member.incarnation and life > member.life):
+            self._set(now, member, life, incarnation, birth, origin)
+        elif incarnation == member.incarnation and life is member.life is Life.SUSPECT:
+            self._confirm(now, member, origin)
+
+    # --- States.
+
+    def _set(
+        self, now: int, member: Member, life: Life, incarnation: int, birth: int, origin: int = -1
+    ) -> None:
+        before, fresh = member.life, birth != member.birth
+        member.life, member.incarnation, member.birth, member.since = life, incarnation, birth, now
+        member.suspectors.clear()
+        if life is Life.SUSPECT:
+            member.suspectors.add(origin)
+            member.suspect_until = now + self._suspicion_us(1)
+        if life is Life.GONE and before is not Life.GONE:
+            self.removals += 1
+        if life is not before or fresh:
+            self.changes.append((member.number, before, life))
+        self.news[member.number] = 0
+
+    def _least_us(self) -> float:
+        scale = max(1.0, math.log10(max(1, len(self.members))))
+        return self.pace.suspect_factor * scale * self.pace.period_us
+
+    def _suspicion_us(self, suspectors: int) -> int:
+        """Long at first; the least once so many others have said the same."""
+        least = self._least_us()
+        if not self.pace.lifeguard:
+            return int(least * self.pace.suspect_most / 2)
+        wanted = min(self.pace.confirmations, max(1, len(self.members) - 2))
+        share = math.log(min(suspectors, wanted + 1)) / math.log(wanted + 1)
+        return int(max(least, least * self.pace.suspect_most * (1 - share) + least * share))
+
+    def _confirm(self, now: int, member: Member, origin: int) -> None:
+        if origin in member.suspectors or len(member.suspectors) > self.pace.confirmations:
+            return
+        member.suspectors.add(origin)
+        member.suspect_until = min(
+            member.suspect_until, member.since + self._suspicion_us(len(member.suspectors))
+        )
+        self.news[member.number] = 0
+
+    def _slower(self, by: int = 1) -> None:
+        if self.pace.lifeguard:
+            self.slow = min(self.pace.most_slow, self.slow + by)
+
+    # --- Time.
+
+    def tick(self, now: int) -> None:
+        """Several times a period. A turn that comes late shows that we stood still: nobody is blamed for
+        what we could not hear meanwhile."""
+        late, self.ticked = now - self.ticked, now
+        if late > self.pace.paused_us:
+            self.probes.clear()
+            self._slower(self.pace.most_slow)
+            for member in self.members:
+                if member.life is Life.SUSPECT:
+                    member.suspect_until += late
+            self.next_at = now
+        for seq, probe in list(self.probes.items()):
+            self._overdue(now, seq, probe)
+        for member in self.members:
+            if member.life is Life.SUSPECT and now >= member.suspect_until:
+                self._set(now, member, Life.GONE, member.incarnation, member.birth)
+        if now >= self.next_at:
+            stretch = 1 + self.slow if self.pace.lifeguard else 1
+            self.next_at = max(self.next_at, now - self.pace.period_us) + self.pace.period_us * stretch
+            self._next(now)
+        if now >= self.lost_at + self.pace.lost_every_us:
+            self.lost_at = now
+            lost = [m.number for m in self.members if m.life is Life.GONE and m.number != self.me]
+            if lost:
+                self._ping(target := self.random.choice(lost), Probe(target, now, now, origin=self.me))
+
+    def _next(self, now: int) -> None:
+        while self.order:
+            target = self.order.pop()
+            if self.members[target].life in (Life.ALIVE, Life.SUSPECT) or not self.members[target].birth:
+                break
+        else:
+            self.order = [
+                m.number for m in self.members if m.number != self.me and m.life in (Life.ALIVE, Life.SUSPECT)
+            ]
+            self.random.shuffle(self.order)
+            if not self.order:
+                return
+            target = self.order.pop()
+        scale = 1 + self.slow if self.pace.lifeguard else 1
+        period = self.pace.period_us * scale
+        self._ping(target, Probe(target, now + self.pace.answer_us * scale, now + period * 9 // 10))
+
+    def _ping(self, target: int, probe: Probe) -> None:
+        self.seq = (self.seq + 1) & 0x7FFFFFFF
+        self.probes[self.seq] = probe
+        self._say(target, Ping(self.seq, self.note(), self._news(target)))
+
+    def _overdue(self, now: int, seq: int, probe: Probe) -> None:
+        if probe.origin is not None:
+            if now >= probe.until:
+                del self.probes[seq]
+                if probe.origin != self.me and self.pace.lifeguard:
+                    self._say(probe.origin, Nack(probe.origin_seq))
+            return
+        if now >= probe.until and not probe.helped:
+            probe.helped = True
+            able = [m.number for m in self.members if m.life is Life.ALIVE]
+            able = [number for number in able if number not in (self.me, probe.target)]
+            for helper in self.random.sample(able, min(self.pace.helpers, len(able))):
+                self._say(helper, PingAsk(seq, probe.target))
+            probe.origin_seq = min(self.pace.helpers, len(able))  # so many were asked
+        if now < probe.last:
+            return
+        del self.probes[seq]
+        if probe.nacks < probe.origin_seq:  # helpers that say nothing either: it may be us
+            self._slower(probe.origin_seq - probe.nacks)
+        elif probe.origin_seq == 0:
+            self._slower()
+        member = self.members[probe.target]
+        if member.life is Life.ALIVE:
+            self._set(now, member, Life.SUSPECT, member.incarnation, member.birth, self.me)
+        elif member.life is Life.SUSPECT:
+            self._confirm(now, member, self.me)
+
+    # --- Out.
+
+    def _news(self, target: int) -> tuple[Update, ...]:
+        """What is told least so far; to a suspect first of all that it is one."""
+        most = math.ceil(self.pace.retell * max(1.0, math.log10(len(self.members) + 1)))
+        chosen = sorted(self.news, key=self.news.__getitem__)[:MOST_GOSSIP]
+        if self.members[target].life is not Life.ALIVE and target not in chosen and target != self.me:
+            chosen = [target, *chosen[: MOST_GOSSIP - 1]]
+        updates = []
+        for number in chosen:
+            member = self.members[number]
+            if member.birth:
+                updates.append(Update(number, member.life, member.incarnation, member.birth))
+            if number in self.news:
+                self.news[number] += 1
+                if self.news[number] >= most:
+                    del self.news[number]
+        return tuple(updates)
+
+    def _say(self, target: int, message: Message) -> None:
+        self.out.append((target, message))
+
+    def leave(self, fence: int) -> None:
+        """We end: told to a few, who tell the rest."""
+        self.mine.life = Life.LEAVING
+        self.news[self.me] = 0
+        able = [m.number for m in self.members if m.life is Life.ALIVE and m.number != self.me]
+        for target in self.random.sample(able, min(6, len(able))):
+            self._say(target, Leaving(fence))
--- /dev/null
+++ b/whintrail/fleet/release.py
@@ -0,0 +1,106 @@
+"""Whether a new build does as well as the old one, on like traffic, decided one query after another.
+
+For each class of queries, and for failures, refusals and late answers apart: Wald's sequential ratio test of
+"as the old build" against "worse by more than a stated measure". Little traffic then neither passes nor fails
+a build by chance: the answer is *wait* until the evidence is there. The old build's own share is an estimate;
+one standard error is added to it, so that a small sample of the old can't condemn the new.
+"""
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+
+from whintrail.fleet.wire import Report
+
+KINDS = ("failed", "refused", "late")
+MASK = 0xFFFFFFFF  # counters wrap
+
+
+class Verdict(Enum):
+    WAIT = "wait"
+    GO = "go"
+    HALT = "halt"
+
+
+@dataclass(frozen=True, slots=True)
+class Measure:
+    """What counts as worse, and how sure one wants to be."""
+
+    times: float = 2.0
+    least: float = 0.03  # more of the queries, at least
+    halted_wrongly: float = 0.01  # of a step with a build as good as the old one
+    passed_wrongly: float = 0.05
+    class_share: float = 0.05  # classes with less of the queries don't hold up a step
+    least_queries: int = 50
+
+
+@dataclass(slots=True)
+class Sums:
+    """Taken and bad queries by class."""
+
+    taken: dict[int, int] = field(default_factory=dict)
+    bad: dict[tuple[int, int], int] = field(default_factory=dict)
+
+    def add(self, cls: int, taken: int, bad: tuple[int, int, int]) -> None:
+        self.taken[cls] = self.taken.get(cls, 0) + taken
+        for kind, count in enumerate(bad):
+            self.bad[cls, kind] = self.bad.get((cls, kind), 0) + count
+
+
+def ratio(bad: int, taken: int, usual: float, measure: Measure) -> float:
+    """The logarithm of the likelihood ratio, worse against as usual, of so many bad ones."""
+    worse = min(0.98, max(usual * measure.times, usual + measure.least))
+    usual = min(usual, worse / (1 + 1e-9))
+    bad = min(bad, taken)
+    return bad * math.log(worse / usual) + (taken - bad) * math.log((1 - worse) / (1 - usual))
+
+
+class Comparison:
+    """Of one step of one release. Feed it every report; it knows members by number and birth."""
+
+    def __init__(self, build: str, measure: Measure | None = None) -> None:
+        self.build, self.measure = build, measure or Measure()
+        self.new, self.old = Sums(), Sums()
+        self.before: dict[int, tuple[int, tuple[tuple[int, ...], ...]]] = {}
+
+    def next_step(self) -> None:
+        """What the new build showed so far was judged; the old one's figures stay."""
+        self.new = Sums()
+
+    def report(self, number: int, birth: int, report: Report) -> None:
+        before = self.before.get(number)
+        self.before[number] = (birth, report.counts)
+        if before is None or before[0] != birth or len(before[1]) != len(report.counts):
+            return  # a first sight: what it counted until then was under other conditions
+        sums = self.new if report.build == self.build else self.old
+        for cls, (now, then) in enumerate(zip(report.counts, before[1], strict=True)):
+            taken, *bad = ((a - b) & MASK for a, b in zip(now, then, strict=True))
+            if taken < 1 << 24:  # more in a second is no count
+                sums.add(cls, taken, (bad[0], bad[1], bad[2]))
+
+    def usual(self, cls: int, kind: int) -> float:
+        """The old build's share, a standard error over it; without an old build, a plain bound."""
+        taken = self.old.taken.get(cls, 0)
+        share = (self.old.bad.get((cls, kind), 0) + 0.5) / (taken + 1)
+        return min(0.9, share + math.sqrt(share * (1 - share) / (taken + 1)))
+
+    def judge(self) -> tuple[Verdict, str]:
+        measure, total = self.measure, sum(self.new.taken.values())
+        tests = max(1, len(KINDS) * len(self.new.taken))
+        halts = math.log((1 - measure.passed_wrongly) / (measure.halted_wrongly / tests))
+        passes = math.log(measure.passed_wrongly)
+        wait = "" if total >= measure.least_queries else f"{total} queries so far"
+        for cls, taken in sorted(self.new.taken.items()):
+            if self.old.taken.get(cls, 0) < measure.least_queries:
+                if taken > measure.class_share * total:
+                    wait = wait or f"class {cls}: little of the old build to compare with"
+                continue
+            for kind, name in enumerate(KINDS):
+                bad, usual = self.new.bad.get((cls, kind), 0), self.usual(cls, kind)
+                evidence = ratio(bad, taken, usual, measure)
+                if evidence >= halts:
+                    share = f"{bad}/{taken} {name}, old {usual:.3f}"
+                    return Verdict.HALT, f"class {cls}: {share}"
+                if evidence > passes and taken > measure.class_share * total:
+                    wait = wait or f"class {cls}: not sure of {name} yet ({bad}/{taken})"
+        return (Verdict.WAIT, wait) if wait else (Verdict.GO, f"{total} queries compared")
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -66,6 +66,13 @@
     def tell(self, target: int | None, payload: bytes) -> None: ...
 
 
+class ListOverlay(Protocol):
+    """What the fleet has agreed on the engines, laid over the bulletin's list."""
+
+    def listed(self, event: api.EngineList) -> api.EngineList: ...
+    def drain(self, engines: frozenset[str]) -> api.EngineList | None: ...
+
+
 class Engines(Protocol):
     """What carries attempts and probes; each gets exactly one end through the queue, never at once."""
 
@@ -159,12 +166,19 @@
     payload: bytes
 
 
+@dataclass(slots=True)
+class Drains:
+    """Engines that the fleet has agreed to drain, all of them."""
+
+    engines: frozenset[str]
+
+
 @dataclass(slots=True)
 class Stop:
     """What is still open fails now."""
 
 
-Input = Asked | Gone | Ended | Noted | Probed | Listed | Told | Stop
+Input = Asked | Gone | Ended | Noted | Probed | Listed | Told | Drains | Stop
 
 
 class Inbox:
@@ -220,6 +234,9 @@
         self.numbered = 0
         self.timers = Wheel(self.now)
         self.timeline: TimeLine | None = None
+        self.overlay: ListOverlay | None = None  # of the fleet's drains, where there is a fleet
+        self.tally: dict[str, list[int]] | None = None
+        self.aims = {c.name: c.aim_us for c in settings.classes}
         self.peers: Peers | None = None  # none where the deployment bars talk among gateways
         self.alarm: asyncio.TimerHandle | None = None
         self.alarm_at = 0
@@ -337,15 +354,52 @@
                 self._gone(query, "left")
             case Listed(event):
                 self.engines.update(item)
-                if self.timeline is not None:
-                    self._keep(self.timeline.listed, self.now, event)
-                self._tell(event)
+                self._listed(event if self.overlay is None else self.overlay.listed(event))
+            case Drains(engines):
+                if self.overlay is not None and (changed := self.overlay.drain(engines)) is not None:
+                    self._listed(changed)
             case Told(origin, payload):
                 self._tell(api.PeerTold(origin, payload))
             case Stop():
                 for query in list(self.queries.values()):
                     self._give_up(query, "stopped")
 
+    def _listed(self, event: api.EngineList) -> None:
+        if self.timeline is not None:
+            self._keep(self.timeline.listed, self.now, event)
+        self._tell(event)
+
+    # --- For the fleet.
+
+    def tally_classes(self) -> None:
+        """Count by class from now on, and lay the fleet's drains over the list; before anything is taken."""
+        from whintrail.fleet.overlay import Overlay  # only where a fleet is asked for
+
+        self.overlay = Overlay()
+        self.tally = {name: [0, 0, 0, 0] for name in self.deadlines}
+
+    def tallies(self) -> tuple[tuple[int, int, int, int], ...]:
+        """Of each class, since the start: taken, failed, refused, late."""
+        counts = self.tally or {}
+        return tuple((a & 0xFFFFFFFF, b, c, d) for a, b, c, d in counts.values())
+
+    def held_by(self, engine: str) -> int:
+        """Attempts without an outcome on an engine."""
+        return sum(attempt.engine == engine for attempt in self.attempts.values())
+
+    def _tally(self, query: Query, how: str) -> None:
+        assert self.tally is not None
+        counts = self.tally.get(query.statement.class_name)
+        if counts is None or how == "left":  # a client that left has no complaint
+            return
+        counts[0] += 1
+        if how == "refused":
+            counts[2] += 1
+        elif how != "served":
+            counts[1] += 1
+        elif self.now - query.taken_us > self.aims[query.statement.class_name]:
+            counts[3] += 1
+
     def _asked(self, query: Query) -> None:
         statement = query.statement
         if self._known(statement.call):
@@ -457,6 +511,8 @@
         self.calls.discard(query.statement.call)
         self.past.add(query.statement.call)
         self.counters.add("queries", how)
+        if self.tally is not None:
+            self._tally(query, how)
         self._let_go(query)
 
     def _let_go(self, query: Query) -> None:
--- a/whintrail/gateway/peers.py
+++ b/whintrail/gateway/peers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from whintrail.fleet.memo import MOST_BYTES
@@ -18,6 +18,8 @@
 from whintrail.gateway.owner import Inbox, Told
 from whintrail.settings import get
 
+FLEET_MARK = 0xF5  # first byte of a datagram of the fleet's (`fleet/wire.py`); a memo begins otherwise
+
 
 class Peers:
     """Everything that reaches the owner came from an address on the list, and is no longer than allowed."""
@@ -34,6 +36,7 @@
         self.everyone = address(everyone) if everyone else None
         self.buffer = bytearray(MOST_BYTES + 1)  # one more shows what is too long
         self.sock: socket.socket | None = None
+        self.fleet: Callable[[int, bytes], None] | None = None  # who takes what is marked as the fleet's
 
     def open(self) -> None:
         """Without the socket the gateway serves all the same: it then knows what it finds out itself."""
@@ -53,6 +56,10 @@
         where = self.everyone
         if target is not None:
             where = self.addresses[target] if 0 <= target < len(self.addresses) else None
+        if target is None and where is None and self.fleet is not None:
+            for number in range(len(self.addresses)):  # no address stands for all
+                self.tell(number, payload)
+            return
         if self.sock is None or where is None or len(payload) > MOST_BYTES:
             self.counters.add("peers", "not_sent")
             return
@@ -75,6 +82,9 @@
                 self.counters.add("peers", "strange")
                 continue
             self.counters.add("peers", "heard")
+            if self.fleet is not None and count and self.buffer[0] == FLEET_MARK:
+                self.fleet(origin, bytes(memoryview(self.buffer)[:count]))
+                continue
             self.inbox.put(Told(origin, bytes(memoryview(self.buffer)[:count])))
 
     def close(self) -> None:
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from whintrail.config import OperatorFile
+    from whintrail.gateway.fleet import FleetPart
     from whintrail.timeline.keeper import Keeper
 
 NAME = "whintrail"  # until the configuration gives one
@@ -75,6 +76,7 @@
             self.name = str(get(config, "name", NAME))
             self.log = self._open_log(self.name)
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
+            self.zones = tuple(str(zone) for zone in get(config["settings"], "Zones", []))
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
             self.inbox = Inbox(Clock())
@@ -92,6 +94,7 @@
         self.owner.peers = self.peers
         self.keeper = self._open_timeline(settings)
         self.stopping = asyncio.Event()
+        self.fleet = self._open_fleet(settings)
 
     def _open_log(self, name: str) -> Log:
         if self.operator is None:
@@ -100,6 +103,8 @@
         return Log(name, logging.burst, logging.per_second, logging.format == "json")
 
     def print_counters(self) -> None:
+        if self.fleet is not None:
+            self.fleet.print_counters()
         for group, counts in self.counters.groups():
             self.log.always(group, "counters", **counts)
 
@@ -139,6 +144,25 @@
         self.owner.observe(keeper.timeline, keeper.tick, self.limits.timeline_tick_us)
         return keeper
 
+    def _open_fleet(self, settings: Settings) -> "FleetPart | None":
+        """The fleet, where the operator's file asks for one and gateways may talk; else it is off."""
+        if self.operator is None or self.operator.fleet is None:
+            return None
+        if self.peers is None:
+            raise StartError("the fleet needs peer_listen and peers, and settings that allow messages")
+        try:
+            from whintrail.gateway.fleet import FleetError, FleetPart, read_given
+        except ModuleNotFoundError as error:
+            raise StartError(f"the fleet needs {error.name}: see requirements-operator.txt") from error
+        asked, peers = self.operator.fleet, self.peers
+        try:
+            build = self.environment.get("WHINTRAIL_BUILD", "")
+            given = read_given(asked, settings, self.zones, len(peers.addresses), build)
+        except FleetError as error:
+            raise StartError(f"fleet: {error}") from error
+        common = self.owner, peers, self.counters, self.log
+        return FleetPart(asked, given, *common, self.stopping.set)
+
     def _reload_operator(self) -> None:
         try:
             given = read_operator(self.environment)
@@ -173,6 +197,8 @@
         tasks = [accepting, loop.create_task(self.bulletin.run()), loop.create_task(self.sessions.watch())]
         if self.keeper is not None:
             self.keeper.start()
+        if self.fleet is not None:
+            self.fleet.start()
         gc.collect()
         gc.freeze()
         gc.set_threshold(*self.limits.gc_thresholds)
@@ -191,6 +217,8 @@
             await asyncio.gather(owner, stopping, *tasks, return_exceptions=True)
             await self.sessions.close()
             await self.links.close()
+            if self.fleet is not None:
+                await self.fleet.close()
             if self.peers is not None:
                 self.peers.close()
             if self.keeper is not None:
@@ -202,6 +230,8 @@
         loop = asyncio.get_running_loop()
         start = loop.time()
         self.log.always("stops")
+        if self.fleet is not None:
+            self.fleet.leave()
         self.owner.ends_us = self.inbox.clock.now_us() + int(self.limits.finish_after_stop_s * 1e6)
         await asyncio.sleep(self.limits.accept_after_stop_s)
         accepting.cancel()
--- a/whintrail/standins/peers.py
+++ b/whintrail/standins/peers.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import json
 import selectors
 import socket
 import tempfile
@@ -19,6 +20,7 @@
 
 from whintrail.standins.scripted import Bulletin, Client, Engine, Gateway, listener, settings, wait_for
 
+Operator = Callable[[int, str], dict[str, Any]]
 Fault = Callable[[int, int, Random], list[float]]  # from, to: after how many seconds each copy arrives
 
 
@@ -114,7 +116,17 @@
 class Fleet:
     """Gateways of the program with their engines, their bulletin and the relay between them."""
 
-    def __init__(self, folder: Path, count: int, engines: list[Engine], **limits: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        count: int,
+        engines: list[Engine],
+        operator: Operator | None = None,
+        zones: int = 1,
+        **limits: Any,
+    ) -> None:
+        """`operator`: the operator's file of a gateway, by its number and build."""
+        self.operator, self.zones = operator, [f"z{number + 1}" for number in range(zones)]
         self.engines, self.bulletin, self.relay = engines, Bulletin(), Relay(count)
         self.bulletin.publish(*(engine.entry() for engine in engines), reset=True)
         self.folder, self.limits = folder, limits
@@ -126,7 +138,7 @@
         for number in range(count):
             wait_for(lambda number=number: self.ready(number))  # type: ignore[misc]
 
-    def start(self, number: int) -> Gateway:
+    def start(self, number: int, build: str = "") -> Gateway:
         """A gateway from nothing, under its old name and addresses."""
         home, relay = self.relay.homes[number], self.relay
         given = settings(MayTell=True, **self.limits)
@@ -140,11 +152,22 @@
             "peers_all": relay.where(relay.everyone),
             "bulletin": self.bulletin.where,
             "known": {"no": 1, "items": list(self.bulletin.events)},
-            "settings": {**given, "FleetSize": len(self.ports), "Me": number},
+            "settings": {
+                **given,
+                "FleetSize": len(self.ports),
+                "Me": number,
+                "Zones": self.zones,
+                "Zone": self.zones[number % len(self.zones)],
+            },
         }
         folder = self.folder / f"n{number}"
         folder.mkdir(exist_ok=True)
-        return Gateway(config, folder)
+        environment = {}
+        if self.operator is not None:
+            file = folder / "operator.jsonnet"
+            file.write_text(json.dumps(self.operator(number, build)))
+            environment["WHINTRAIL_FILE"] = str(file)
+        return Gateway(config, folder, **environment)
 
     def ready(self, number: int) -> bool:
         assert self.gateways[number].process.poll() is None, self.gateways[number].text()
@@ -168,9 +191,9 @@
 
 
 @contextmanager
-def fleet(count: int, *engines: Engine, **limits: Any) -> Iterator[Fleet]:
+def fleet(count: int, *engines: Engine, **more: Any) -> Iterator[Fleet]:
     with tempfile.TemporaryDirectory() as folder:
-        given = Fleet(Path(folder), count, list(engines) or [Engine()], **limits)
+        given = Fleet(Path(folder), count, list(engines) or [Engine()], **more)
         try:
             yield given
         finally:
--- /dev/null
+++ b/whintrail/standins/simulated.py
@@ -0,0 +1,229 @@
+"""A fleet of `whintrail.fleet` nodes in simulated time: hundreds of gateways in one, replayable by seed.
+
+The cores are the real ones, and every datagram is encoded and decoded. Each process has a monotonic clock of
+its own, off by an offset and a drift. A fault is a function of sender, receiver and chance, as the relay's.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from random import Random
+
+from whintrail.fleet.leader import EngineSeen
+from whintrail.fleet.node import Given, Node
+from whintrail.fleet.state import State
+
+TICK_US = 50_000
+Fault = Callable[[int, int, Random], list[float]]
+
+
+def sound(origin: int, target: int, random: Random) -> list[float]:
+    return [0.0]
+
+
+@dataclass(slots=True)
+class Process:
+    """One life of a gateway, and what it does for itself."""
+
+    number: int
+    birth: int
+    began: int  # by the world's clock, as all below
+    offset: int
+    drift: float
+    build: str
+    engines: dict[str, EngineSeen]
+    busy: Callable[[int, str], int]
+    bad: Callable[[str], tuple[float, float, float]]
+    rate: float
+    random: Random
+    node: Node | None = None
+    stopped_until: int = 0
+    mail: list[tuple[int, bytes]] = field(default_factory=list)  # that came while it stood still
+    at: int = 0
+    tally: list[int] = field(default_factory=lambda: [0, 0, 0, 0])
+    counted_at: int = 0
+
+    def clock(self, now: int) -> int:
+        return self.offset + int((now - self.began) * (1 + self.drift))
+
+    def serving_ms(self, now: int) -> int:
+        return max(1, (now - self.offset) // 1000)
+
+    def held_by(self, engine: str) -> int:
+        return self.busy(self.number, engine)
+
+    def counts(self) -> tuple[tuple[int, int, int, int], ...]:
+        taken = int((self.at - self.counted_at) / 1e6 * self.rate)
+        if taken:
+            self.counted_at = self.at
+            shares = self.bad(self.build)
+            bad = [sum(self.random.random() < share for _ in range(taken)) for share in shares]
+            for place, more in enumerate((taken, *bad)):
+                self.tally[place] += more
+        return ((self.tally[0], self.tally[1], self.tally[2], self.tally[3]),)
+
+    # The node calls it by this name.
+    def engines_(self) -> dict[str, EngineSeen]:
+        return self.engines
+
+
+class _Local:
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self.serving_ms, self.held_by = process.serving_ms, process.held_by
+        self.counts, self.engines = process.counts, process.engines_
+
+
+class World:
+    def __init__(
+        self,
+        given: Callable[[int, str], Given],
+        count: int,
+        seed: int,
+        engines: dict[str, EngineSeen] | None = None,
+        drift: float = 0.0,
+    ) -> None:
+        """`given`: the settings of a gateway on a build; all start with build `old`."""
+        self.given, self.count, self.random = given, count, Random(seed)
+        self.engines = engines or {}
+        self.fault: Fault = sound
+        self.drift = drift
+        self.now = 0
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.numbered = 0
+        self.busy: dict[tuple[int, str], int] = {}
+        self.bad: dict[str, tuple[float, float, float]] = {}
+        self.rate = 5.0
+        self.processes: list[Process | None] = [None] * count
+        self.lines: list[tuple[int, int, str, dict[str, object]]] = []
+        self.sent, self.sent_bytes = Counter[int](), Counter[int]()
+        for number in range(count):
+            self.start(number, "old")
+
+    # --- Time.
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        self.numbered += 1
+        heappush(self.queue, (when, self.numbered, what))
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """Go on for so long, or until something holds: whether it does."""
+        end = self.now + int(seconds * 1e6)
+        check = 0
+        while self.queue and self.queue[0][0] <= end:
+            when, _, what = heappop(self.queue)
+            self.now = max(self.now, when)
+            what()
+            check += 1
+            if until is not None and check % 16 == 0 and until():
+                return True
+        self.now = end
+        return until() if until is not None else True
+
+    # --- Processes.
+
+    def start(self, number: int, build: str = "old") -> Process:
+        """From nothing, under its number."""
+        process = Process(
+            number,
+            self.random.getrandbits(31) | 1,
+            self.now,
+            self.random.randrange(1 << 40),
+            self.random.uniform(-self.drift, self.drift),
+            build,
+            self.engines,
+            lambda n, engine: self.busy.get((n, engine), 0),
+            lambda b: self.bad.get(b, (0.0, 0.0, 0.0)),
+            self.rate,
+            Random(self.random.getrandbits(32)),
+        )
+        process.node = Node(
+            self.given(number, build),
+            process.birth,
+            1_000_000 + self.now // 1_000_000,
+            process.clock(self.now),
+            Random(self.random.getrandbits(32)),
+            _Local(process),
+            lambda: self.now // 1000,
+            lambda what, more: self.lines.append((self.now, number, what, more)),
+        )
+        self.processes[number] = process
+        self.at(self.now + self.random.randrange(TICK_US), lambda: self._tick(process))
+        return process
+
+    def kill(self, number: int) -> None:
+        self.processes[number] = None
+
+    def stop(self, number: int, seconds: float) -> None:
+        """Stands still, as under SIGSTOP; what comes waits."""
+        process = self.processes[number]
+        if process is not None:
+            process.stopped_until = self.now + int(seconds * 1e6)
+
+    def node(self, number: int) -> Node:
+        process = self.processes[number]
+        assert process is not None and process.node is not None
+        return process.node
+
+    def up(self) -> list[int]:
+        return [p.number for p in self.processes if p is not None]
+
+    def leader(self) -> int | None:
+        """Who leads in the newest epoch and term."""
+        found = []
+        for number in self.up():
+            council = self.node(number).council
+            if council is not None and self.node(number).leads:
+                found.append((council.epoch, council.term, number))
+        return max(found)[2] if found else None
+
+    def state(self) -> State:
+        """The furthest that anybody knows."""
+        return max((self.node(n).replica for n in self.up()), key=lambda r: r.position).state
+
+    def clock(self, number: int) -> int:
+        process = self.processes[number]
+        assert process is not None
+        return process.clock(self.now)
+
+    # --- The network.
+
+    def _tick(self, process: Process) -> None:
+        if self.processes[process.number] is not process or process.node is None:
+            return
+        if self.now < process.stopped_until:
+            self.at(process.stopped_until, lambda: self._tick(process))
+            return
+        node = process.node
+        process.at = self.now
+        mail, process.mail = process.mail, []
+        for origin, data in mail:
+            node.take(process.clock(self.now), origin, data)
+        node.tick(process.clock(self.now))
+        self._flush(process)
+        self.at(self.now + TICK_US, lambda: self._tick(process))
+
+    def _flush(self, process: Process) -> None:
+        assert process.node is not None
+        for target, data in process.node.flush(process.clock(self.now)):
+            origin = process.number
+            self.sent[origin] += 1
+            self.sent_bytes[origin] += len(data)
+            targets = [n for n in range(self.count) if n != origin] if target is None else [target]
+            for each in targets:
+                for delay in self.fault(origin, each, self.random):
+                    after = int(delay * 1e6) + 200 + self.random.randrange(1000)
+                    self.at(self.now + after, partial(self._deliver, origin, each, data))
+
+    def _deliver(self, origin: int, target: int, data: bytes) -> None:
+        process = self.processes[target]
+        if process is None or process.node is None:
+            return
+        if self.now < process.stopped_until:
+            process.mail.append((origin, data))
+            return
+        process.at = self.now
+        process.node.take(process.clock(self.now), origin, data)
+        self._flush(process)
--- a/whintrail/timeline/live.py
+++ b/whintrail/timeline/live.py
@@ -6,26 +6,19 @@
 """
 
 import asyncio
-import os
 import socket
 from collections import deque
 from collections.abc import Iterable, Iterator
-from contextlib import suppress
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
+from whintrail.control.lines import Counts, LineServer, encode
 from whintrail.timeline.core import Timeline
 from whintrail.timeline.kinds import Happening
 
-MOST_REQUEST, MOST_CLIENTS, MOST_ROWS = 4096, 32, 200_000
-QUEUE, WRITE_S, READ_S = 256, 5.0, 5.0
+MOST_ROWS, QUEUE = 200_000, 256
 BATCH = 200  # rows written before others have their turn
-encode = msgspec.json.encode
-
-
-class Counts(Protocol):
-    def add(self, group: str, name: str, count: int = 1) -> None: ...
 
 
 class Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -62,27 +55,16 @@
     }
 
 
-class Live:
+class Live(LineServer):
     """Errors of the constructor: OSError where the socket can't be had."""
 
+    request_type = Request
+    group = "timeline"
+
     def __init__(self, path: str, timeline: Timeline, followers: int, counters: Counts) -> None:
-        self.timeline, self.most_followers, self.counters = timeline, followers, counters
+        super().__init__(path, counters)
+        self.timeline, self.most_followers = timeline, followers
         self.followers: set[Follower] = set()
-        self.clients: set[asyncio.Task[None]] = set()
-        with suppress(FileNotFoundError):
-            os.unlink(path)  # of a gateway that was killed
-        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        self.listener.setblocking(False)
-        try:
-            before = os.umask(0o177)  # whoever may read the record is the gateway's own user
-            try:
-                self.listener.bind(path)
-            finally:
-                os.umask(before)
-            self.listener.listen(16)
-        except OSError:
-            self.listener.close()
-            raise
 
     def tell(self, happenings: Iterable[Happening]) -> None:
         lines = [encode(happening_row(happening)) + b"\n" for happening in happenings]
@@ -90,50 +72,7 @@
             for line in lines:
                 follower.tell(line)
 
-    async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            sock, _ = await loop.sock_accept(self.listener)
-            sock.setblocking(False)
-            if len(self.clients) >= MOST_CLIENTS:
-                self.counters.add("timeline", "views_refused")
-                sock.close()
-                continue
-            task = loop.create_task(self._client(sock))
-            self.clients.add(task)
-            task.add_done_callback(self.clients.discard)
-
-    async def _client(self, sock: socket.socket) -> None:
-        try:
-            async with asyncio.timeout(READ_S):
-                request = await self._request(sock)
-            await self._answer(sock, request)
-        except msgspec.MsgspecError as error:
-            with suppress(OSError, TimeoutError):
-                await self._write(sock, encode({"error": str(error)}) + b"\n")
-        except (OSError, TimeoutError):
-            self.counters.add("timeline", "views_broken")
-        finally:
-            sock.close()
-
-    async def _request(self, sock: socket.socket) -> Request:
-        loop, data, chunk = asyncio.get_running_loop(), bytearray(), bytearray(1024)
-        while b"\n" not in data:
-            if len(data) > MOST_REQUEST:
-                raise msgspec.ValidationError(f"a request of more than {MOST_REQUEST} bytes")
-            count = await loop.sock_recv_into(sock, chunk)
-            if not count:
-                raise ConnectionError("no request")
-            data += memoryview(chunk)[:count]
-        return msgspec.json.decode(bytes(data).partition(b"\n")[0], type=Request)
-
-    @staticmethod
-    async def _write(sock: socket.socket, data: bytes) -> None:
-        """Cancelled half-way it leaves half a message: every caller closes then."""
-        async with asyncio.timeout(WRITE_S):
-            await asyncio.get_running_loop().sock_sendall(sock, data)
-
-    async def _answer(self, sock: socket.socket, request: Request) -> None:
+    async def answer(self, sock: socket.socket, request: Request) -> None:
         if request.what == "events" and request.follow:
             await self._follow(sock, request)
             return
@@ -144,10 +83,10 @@
                 break
             batch += encode(row) + b"\n"
             if number % BATCH == BATCH - 1:
-                await self._write(sock, bytes(batch))
+                await self.write(sock, bytes(batch))
                 batch.clear()
                 await asyncio.sleep(0)
-        await self._write(sock, bytes(batch))
+        await self.write(sock, bytes(batch))
 
     def _rows(self, request: Request) -> Iterator[dict[str, Any]]:
         timeline, engine = self.timeline, request.engine
@@ -174,11 +113,11 @@
 
     async def _follow(self, sock: socket.socket, request: Request) -> None:
         if len(self.followers) >= self.most_followers:
-            await self._write(sock, encode({"error": "as many followers as the file allows"}) + b"\n")
+            await self.write(sock, encode({"error": "as many followers as the file allows"}) + b"\n")
             return
         follower, loop = Follower(), asyncio.get_running_loop()
         self.followers.add(follower)
-        gone = loop.create_task(self._gone(sock))
+        gone = loop.create_task(self.gone(sock))
         try:
             for row in self._rows(request):
                 follower.tell(encode(row) + b"\n")
@@ -193,20 +132,8 @@
                     if follower.missed:
                         data += encode({"missed": follower.missed}) + b"\n"
                         follower.missed = 0
-                    await self._write(sock, data)
+                    await self.write(sock, data)
         finally:
             self.followers.discard(follower)
             gone.cancel()
             await asyncio.gather(gone, return_exceptions=True)
-
-    @staticmethod
-    async def _gone(sock: socket.socket) -> None:
-        chunk = bytearray(64)
-        with suppress(OSError):
-            while await asyncio.get_running_loop().sock_recv_into(sock, chunk):
-                pass
-
-    def close(self) -> None:
-        self.listener.close()
-        for task in list(self.clients):
-            task.cancel()
