--- a/whintrail/fleet/council.py
+++ b/whintrail/fleet/council.py
@@ -99,7 +99,7 @@
         self.log: deque[Entry] = deque()
         self.commit = 0
         # As one that recovers.
-        self.nonce, self.since = random.getrandbits(NONCE_BITS), now
+        self.nonce, self.since = random.getrandbits(NONCE_BITS) | 1, now
         self.told: dict[int, RecoverTell] = {}
         self.target: tuple[int, int, int] | None = None  # epoch, term and index to be held first
         self.heard: dict[int, Heard] = {}
@@ -227,7 +227,7 @@
         if self.role is not Role.RECOVERING:
             self.since = now
         self.role, self.leader, self.target = Role.RECOVERING, -1, None
-        self.nonce = self.random.getrandbits(NONCE_BITS)
+        self.nonce = self.random.getrandbits(NONCE_BITS) | 1
         self.told.clear()
 
     def _recover_asked(self, now: int, origin: int, ask: RecoverAsk) -> None:
@@ -275,7 +275,7 @@
         if self._lonely_us(now) < self.pace.quarantine_us or any(n < self.me for n in self.others):
             return
         fresh = [self.heard.get(n) for n in self.others]
-        if any(h is None or now - h.at > 4 * self.pace.recover_us for h in fresh):
+        if any(h is None or now - h.at > 2 * self.pace.election_us for h in fresh):
             return
         if any(h.waited_us < self.pace.quarantine_us for h in fresh if h is not None):
             return
@@ -531,7 +531,11 @@
         elif now >= self.election_at:
             self.leader = -1
             self.campaign(now, trial=True)
-            if self._lonely_us(now) >= self.pace.quarantine_us:
+            lonely = self._lonely_us(now)
+            if lonely >= self.pace.quarantine_us:  # told unasked: who decides to begin anew has to know
+                given = 0, self.epoch, self.term, False, self.last, min(lonely // 1000, 0xFFFFFFFF)
+                for number in self.others:
+                    self._say(number, RecoverTell(*given))
                 self._try_reform(now)
 
     def _say(self, target: int, message: Message) -> None:
--- a/whintrail/standins/explore.py
+++ b/whintrail/standins/explore.py
@@ -50,6 +50,7 @@
     forgets: int = 1
     changes: int = 1
     asks: int = 1  # a recovering member asks again
+    doubts: int = 0  # a leader takes itself for cut off
 
 
 Mail = tuple[int, int, int, Message]  # from, its birth, to, what
@@ -228,6 +229,10 @@
                 then.members[number] = then._new(number)
                 then.members[number].tick(0)
                 yield then, number, replace(budget, forgets=budget.forgets - 1)
+            if budget.doubts and council.role is Role.LEADER:
+                then = self.clone(number)
+                then.members[number]._follow(0, council.term, -1)
+                yield then, number, replace(budget, doubts=budget.doubts - 1)
             if budget.changes and council.role is Role.LEADER:
                 then = self.clone(number)
                 then.members[number].propose(0, Free(number, budget.changes, ""))
