--- a/whintrail/cli/fleet.py
+++ b/whintrail/cli/fleet.py
@@ -117,7 +117,7 @@
 
 
 @fleet.command("may-restart")
-@click.option("--wait-s", type=click.FloatRange(0.1, 86_400), default=0.0, help="Wait so long for a slot.")
+@click.option("--wait-s", type=click.FloatRange(0, 86_400), default=0.0, help="Wait so long for a slot.")
 @click.option("--stop", is_flag=True, help="With the slot, the gateway stops at once, as on SIGTERM.")
 @socket_option
 @format_option
--- a/whintrail/fleet/council.py
+++ b/whintrail/fleet/council.py
@@ -111,6 +111,7 @@
         self.match: dict[int, int] = {}
         self.next: dict[int, int] = {}
         self.acked_at: dict[int, int] = {}
+        self.standing: set[int] = set()  # others that take part, as far as this leader knows
         self.beat_at = now
         self.births: dict[int, int] = {}
         self.views: dict[int, tuple[int, ...]] = {}  # others' births, as each last told
@@ -208,6 +209,12 @@
         self.told.pop(origin, None)
         self.agreed.pop(origin, None)
         self.views.pop(origin, None)
+        self.standing.discard(origin)
+
+    def away(self, now: int) -> list[int]:
+        """As the leader sees it: others of the council that vouch for nothing at present."""
+        late = 2 * self.pace.election_us
+        return [n for n in self.others if n not in self.standing or now - self.acked_at.get(n, 0) > late]
 
     def _view(self) -> tuple[int, ...]:
         return tuple(self.birth if n == self.me else self.births.get(n, 0) for n in self.members)
@@ -391,6 +398,7 @@
         self.match = dict.fromkeys(self.others, 0)
         self.next = dict.fromkeys(self.others, self.last + 1)
         self.acked_at = dict.fromkeys(self.others, now)
+        self.standing.clear()
         self.propose(now, Noop())
 
     # --- Entries.
@@ -496,6 +504,7 @@
             return
         self.next[origin] = max(self.next[origin], tell.last + 1)
         if not tell.learns:
+            self.standing.add(origin)
             self.match[origin] = max(self.match[origin], tell.last)
             self._advance()
         if self.next[origin] <= self.last:
--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -23,6 +23,7 @@
     DrainEngine,
     Free,
     Grant,
+    Lost,
     Slot,
     Start,
     Step,
@@ -56,7 +57,7 @@
     engines: Allowed = field(default_factory=lambda: Allowed(1, 1))
     stale_us: int = 2_600_000  # a report older than that proves nothing
     proven_us: int = 3_000_000  # so long a new process has to have served
-    never_us: int = 20_000_000  # who was not heard of since a leader began is gone
+    ended_us: int = 4_500_000  # whoever said that it ends has ended by then
     measure: Measure = field(default_factory=Measure)
 
 
@@ -260,6 +261,8 @@
         full = room(self.rules.gateways, others, self.zone(origin), self.sizes(), len(self.members.members))
         if full:
             return LATER, full, None
+        if kept := self._council_needs(now, origin):
+            return LATER, kept, None
         release = 0
         under = state.release
         if under is not None and under.status != ENDED:
@@ -276,13 +279,32 @@
                 release = under.id
         return DONE, "", Grant(origin, birth, id, release, self.wall_ms())
 
+    def _council_needs(self, now: int, origin: int) -> str:
+        """Whoever restarts forgets: were most of the council to, nobody could vouch for what is agreed."""
+        council = self.council
+        if origin not in council.members or not council.others:
+            return ""
+        away = {n for n in council.away(now) if n != origin}
+        away |= {n for n in council.members if n != origin and self.why_out(now, n)}
+        if len(away) + 1 <= len(council.members) - council.majority:
+            return ""
+        return "it is of the council, and away are " + ", ".join(f"n{n}" for n in sorted(away))
+
     def _give_back(self, origin: int, given: GiveBack) -> "Found":
+        if given.by_hand:
+            if given.number >= len(self.members.members):
+                return REFUSED, "no such gateway", None
+            member = self.members.members[given.number]
+            if member.life is Life.ALIVE:
+                return REFUSED, "it is alive: end it first", None
+            slot = self.replica.state.slots.get(given.number)
+            return DONE, "", Lost(given.number, slot.birth if slot is not None else member.birth)
         slot = self.replica.state.slots.get(given.number)
         if slot is None or (given.fence and slot.fence != given.fence):
             return DONE, "no such slot", None
-        if given.number != origin and not given.by_hand:
+        if given.number != origin:
             return REFUSED, "not its own", None
-        return DONE, "", Free(given.number, slot.fence, "by hand" if given.by_hand else "not used")
+        return DONE, "", Free(given.number, slot.fence, "not used")
 
     def _drain(self, want: WantDrain) -> "Found":
         if want.engine in self.replica.state.drains:
@@ -361,13 +383,16 @@
         return alive and seen.report.serving_ms * 1000 >= self.rules.proven_us
 
     def waits_for(self, now: int, engine: str) -> list[int]:
-        """Members that have not said that nothing of theirs is out there. Who is silent has not said so."""
+        """Members that have not said that nothing of theirs is out there. Silence is no word: who is cut off
+        from us may still send. Gone is who said that it ends, or for whom a person vouches."""
         watch = self._watch(now, engine, self.replica.state.drains[engine])
         left = []
         for member in self.members.members:
             number = member.number
-            if member.life is Life.GONE and (member.birth or now - self.began > self.rules.never_us):
-                continue
+            if member.life is Life.LEAVING and now - member.since > self.rules.ended_us:
+                continue  # it said that it ends, and has had its time to
+            if member.life is not Life.ALIVE and self.replica.state.lost.get(number) == member.birth:
+                continue  # a person vouches for it
             seen, epoch = self.seen.get(number), self.replica.position[0]
             knows = (
                 seen is not None
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -15,7 +15,19 @@
 from whintrail.fleet.leader import NO_ZONE, EngineSeen, Leader, Rules
 from whintrail.fleet.membership import Life, Membership, Pace
 from whintrail.fleet.replica import Replica
-from whintrail.fleet.state import STATUS, Drained, DrainEngine, Free, Grant, Start, State, Step, Turn, Undrain
+from whintrail.fleet.state import (
+    STATUS,
+    Drained,
+    DrainEngine,
+    Free,
+    Grant,
+    Lost,
+    Start,
+    State,
+    Step,
+    Turn,
+    Undrain,
+)
 from whintrail.fleet.wire import (
     Ack,
     Answer,
@@ -279,6 +291,8 @@
                 self._said("slot granted", member=number, fence=fence, release=release)
             case Free(number, fence, why):
                 self._said("slot free", member=number, fence=fence, why=why)
+            case Lost(number):
+                self._said("gateway given up", member=number)
             case DrainEngine(engine, why):
                 self._said("engine drained", engine=engine, why=why)
             case Undrain(engine, why):
@@ -308,6 +322,7 @@
         if self.leads and self.leader is None:
             args = self.given.rules, self.given.zones, self.wall_ms, self.says
             self.leader = Leader(now, council, self.replica, self.members, *args)
+            self.leader.engines = self.local.engines()
             self._led(now, council.epoch, council.term, self.given.me)
             self.wanted_at = now - 1_000_000
             self._said("leads", term=council.term)
--- a/whintrail/fleet/state.py
+++ b/whintrail/fleet/state.py
@@ -91,7 +91,14 @@
     why: Why
 
 
-Any = Noop | Grant | Free | DrainEngine | Undrain | Drained | Start | Step | Turn
+class Lost(Command, frozen=True, tag=9):
+    """A person vouches that a process is gone for good: nothing of it is anywhere, and it holds no slot."""
+
+    number: Number
+    birth: U32
+
+
+Any = Lost | Noop | Grant | Free | DrainEngine | Undrain | Drained | Start | Step | Turn
 
 
 class Slot(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
@@ -134,6 +141,7 @@
     slots: dict[int, Slot] = {}
     drains: dict[str, Drain] = {}
     release: Release | None = None
+    lost: dict[int, int] = {}  # births of processes that a person has given up
 
     def apply(self, command: Any) -> str:
         """Take a command; empty, or why it changed nothing."""
@@ -145,6 +153,14 @@
                 if slot is None or slot.fence != fence:
                     return "no such slot"
                 del self.slots[number]
+            case Lost(number, birth):
+                slot = self.slots.get(number)
+                if slot is not None and slot.birth == birth:
+                    del self.slots[number]
+                self.lost.pop(number, None)
+                while len(self.lost) >= MOST_SLOTS:
+                    del self.lost[min(self.lost)]
+                self.lost[number] = birth
             case DrainEngine():
                 return self._drain(command)
             case Undrain(engine):
@@ -217,6 +233,7 @@
             dict(sorted(self.slots.items())),
             dict(sorted(self.drains.items())),
             self.release,
+            dict(sorted(self.lost.items())),
         )
         return _encoder.encode(ordered)
 
--- a/whintrail/standins/simulated.py
+++ b/whintrail/standins/simulated.py
@@ -202,10 +202,10 @@
         for origin, data in mail:
             node.take(process.clock(self.now), origin, data)
         node.tick(process.clock(self.now))
-        self._flush(process)
+        self.flush(process)
         self.at(self.now + TICK_US, lambda: self._tick(process))
 
-    def _flush(self, process: Process) -> None:
+    def flush(self, process: Process) -> None:
         assert process.node is not None
         for target, data in process.node.flush(process.clock(self.now)):
             origin = process.number
@@ -226,4 +226,4 @@
             return
         process.at = self.now
         process.node.take(process.clock(self.now), origin, data)
-        self._flush(process)
+        self.flush(process)
