Ask a suspect directly before it is taken for gone, and keep the old build's shares with the release

Noticed: at 20% loss SWIM removed healthy members 534 to 834 times a member-hour (40 gateways, simulated), one observer's mistake spread to all; a leader that came when everybody was on the new build had nothing to compare with and waited for ever.

Change: in the last two periods of a suspicion its holder asks the suspect itself; what is heard of an end starts a suspicion of one's own (membership.py: _hearsay). The old build's shares go with each step into the agreed state (release.py, state.py).

--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -445,11 +445,12 @@
         if self.compared != (under.id, under.step):
             self.compared = (under.id, under.step)
             self.comparison.next_step()
+        self.comparison.agreed = under.usual
         verdict, text = self.comparison.judge()
         if verdict is Verdict.HALT:
             return Turn(under.id, HALTED, text[:64])
         if verdict is Verdict.GO and not slots and len(on) >= under.target(len(self.members.members)):
             if under.step + 1 < len(under.steps):
-                return Step(under.id, under.step + 1)
+                return Step(under.id, under.step + 1, self.comparison.shares())
             return Turn(under.id, ENDED, text[:64])
         return None
--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -41,7 +41,8 @@
     suspect_factor: float = 2.0  # times log10 of the members, in periods: the least time of a suspicion
     suspect_most: float = 3.0  # times that, before others confirm
     confirmations: int = 3
-    retell: float = 3.0  # times log10 of the members: how often an update is told
+    asks: int = 2  # how often a suspect is asked directly, a period apart, before it is taken for gone
+    retell: float = 5.0  # times log10 of the members: how often an update is told
     most_slow: int = 8  # of our own slowness, as Lifeguard counts it
     lifeguard: bool = True
     paused_us: int = 700_000  # a turn so late shows that we did not run
@@ -57,6 +58,7 @@
     since: int = 0
     suspect_until: int = 0
     suspectors: set[int] = field(default_factory=set)
+    asked_at: int = 0  # directly, in the last periods of a suspicion
 
 
 @dataclass(slots=True)
@@ -196,11 +198,22 @@
             if incarnation > member.incarnation:
                 self._set(now, member, life, incarnation, birth, origin)
             return
+        if life is Life.GONE and self.pace.asks and member.life in (Life.ALIVE, Life.SUSPECT):
+            if incarnation >= member.incarnation:
+                self._hearsay(now, member, incarnation, origin)
+            return
         if incarnation > member.incarnation or (incarnation == member.incarnation and life > member.life):
             self._set(now, member, life, incarnation, birth, origin)
         elif incarnation == member.incarnation and life is member.life is Life.SUSPECT:
             self._confirm(now, member, origin)
 
+    def _hearsay(self, now: int, member: Member, incarnation: int, origin: int) -> None:
+        """Another takes it for gone: one's mistake must not be everybody's, so it is asked by us as well."""
+        if member.life is Life.ALIVE:
+            self._set(now, member, Life.SUSPECT, incarnation, member.birth, origin)
+        soon = now + self.pace.asks * self.pace.period_us
+        member.suspect_until = min(member.suspect_until, soon)
+
     # --- States.
 
     def _set(
@@ -260,8 +273,14 @@
         for seq, probe in list(self.probes.items()):
             self._overdue(now, seq, probe)
         for member in self.members:
-            if member.life is Life.SUSPECT and now >= member.suspect_until:
+            if member.life is not Life.SUSPECT:
+                continue
+            if now >= member.suspect_until:
                 self._set(now, member, Life.GONE, member.incarnation, member.birth)
+            elif now >= member.suspect_until - self.pace.asks * self.pace.period_us:
+                if now - member.asked_at >= self.pace.period_us:  # its own word may have been lost on the way
+                    member.asked_at = now
+                    self._tell_of(member.number, member)
         if now >= self.next_at:
             stretch = 1 + self.slow if self.pace.lifeguard else 1
             self.next_at = max(self.next_at, now - self.pace.period_us) + self.pace.period_us * stretch
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -301,7 +301,7 @@
                 self._said("engine drain done", engine=engine)
             case Start(build, steps):
                 self._said("release started", build=build, steps=len(steps))
-            case Step(release, step):
+            case Step(release, step, _):
                 self._said("release step", release=release, step=step + 1)
             case Turn(release, status, why):
                 self._said(f"release {STATUS[status]}", release=release, why=why)
--- a/whintrail/fleet/release.py
+++ b/whintrail/fleet/release.py
@@ -62,6 +62,7 @@
         self.build, self.measure = build, measure or Measure()
         self.new, self.old = Sums(), Sums()
         self.before: dict[int, tuple[int, tuple[tuple[int, ...], ...]]] = {}
+        self.agreed: tuple[tuple[int, ...], ...] = ()  # the old build's shares, as an earlier leader saw them
 
     def next_step(self) -> None:
         """What the new build showed so far was judged; the old one's figures stay."""
@@ -78,9 +79,25 @@
             if taken < 1 << 24:  # more in a second is no count
                 sums.add(cls, taken, (bad[0], bad[1], bad[2]))
 
+    def shares(self) -> tuple[tuple[int, int, int], ...]:
+        """The old build's, in thousandths, by class: what a later leader may go by."""
+        if any(self.old.taken.get(cls, 0) < self.measure.least_queries for cls in self.new.taken):
+            return ()
+        found = []
+        for cls in range(min(4, max(self.new.taken, default=-1) + 1)):
+            parts = [round(min(1.0, self.usual(cls, kind)) * 1000) for kind in range(len(KINDS))]
+            found.append((parts[0], parts[1], parts[2]))
+        return tuple(found)
+
+    def known(self, cls: int) -> bool:
+        """Whether there is anything of the old build to go by."""
+        return self.old.taken.get(cls, 0) >= self.measure.least_queries or cls < len(self.agreed)
+
     def usual(self, cls: int, kind: int) -> float:
-        """The old build's share, a standard error over it; without an old build, a plain bound."""
+        """The old build's share, a standard error over it."""
         taken = self.old.taken.get(cls, 0)
+        if taken < self.measure.least_queries and cls < len(self.agreed):
+            return min(0.9, max(0.0005, self.agreed[cls][kind] / 1000))
         share = (self.old.bad.get((cls, kind), 0) + 0.5) / (taken + 1)
         return min(0.9, share + math.sqrt(share * (1 - share) / (taken + 1)))
 
@@ -91,7 +108,7 @@
         passes = math.log(measure.passed_wrongly)
         wait = "" if total >= measure.least_queries else f"{total} queries so far"
         for cls, taken in sorted(self.new.taken.items()):
-            if self.old.taken.get(cls, 0) < measure.least_queries:
+            if not self.known(cls):
                 if taken > measure.class_share * total:
                     wait = wait or f"class {cls}: little of the old build to compare with"
                 continue
--- a/whintrail/fleet/state.py
+++ b/whintrail/fleet/state.py
@@ -78,9 +78,14 @@
     at_ms: U64
 
 
+# Of each class, what share of the old build's queries failed, were refused, came late; in thousandths.
+Usual = Annotated[tuple[tuple[Permille, Permille, Permille], ...], Meta(max_length=4)]
+
+
 class Step(Command, frozen=True, tag=7):
     release: U32
     step: U32  # the one that begins
+    usual: Usual  # for leaders to come, who may find nobody left on the old build
 
 
 class Turn(Command, frozen=True, tag=8):
@@ -127,6 +132,7 @@
     step: int = 0
     status: int = RUNNING
     said: str = ""  # why it was halted, turned back or ended
+    usual: tuple[tuple[int, int, int], ...] = ()
 
     def target(self, fleet: int) -> int:
         """How many gateways of so many may be on the new build, or on their way to it."""
@@ -178,13 +184,13 @@
                 self.releases += 1
                 given = command.build, command.steps, command.why, command.at_ms
                 self.release = Release(self.releases, *given)
-            case Step(release, step):
+            case Step(release, step, usual):
                 found = self.release
                 if found is None or found.id != release or found.status != RUNNING:
                     return "no such release under way"
                 if step != found.step + 1 or step >= len(found.steps):
                     return "not its next step"  # none is begun twice, nor passed over
-                found.step = step
+                found.step, found.usual = step, usual or found.usual
             case Turn():
                 return self._turn(command)
         return ""
