--- a/deploy/whintrail.jsonnet
+++ b/deploy/whintrail.jsonnet
@@ -13,4 +13,13 @@
   //   store: { directory: '/var/lib/whintrail/timeline', keep_mb: 512, keep_s: 7 * 86400 },
   //   socket: '/run/whintrail/timeline.sock',
   // },
+  // Drains, restarts and releases on which the gateways agree; see docs/fleet.md.
+  // fleet: {
+  //   name: 'akl',
+  //   council: [0, 1, 2],
+  //   out: { gateways: 0.05, gateways_a_zone: 0.1, engines: 0.05, engines_a_zone: 0.2 },
+  //   use_within_s: 1.5, proven_s: 3, quarantine_s: 4,
+  //   messages_per_s: 400, bytes_per_s: 40000,
+  //   socket: '/run/whintrail/fleet.sock',
+  // },
 }
