--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from whintrail.fleet import wire
+from whintrail.fleet import checksum, wire
 from whintrail.fleet.state import (
     Any,
     DrainEngine,
@@ -121,3 +121,12 @@
     assert state.apply(Turn(1, 0, "")) == "" and state.apply(Step(1, 1, ())) == ""
     assert state.apply(Step(1, 1, ())) == "not its next step"  # none is begun twice
     assert state.apply(Turn(1, 3, "")) == "" and state.apply(Turn(1, 0, "")) == "it is done"
+
+
+@given(st.binary(max_size=64))
+def test_the_checksum_is_that_of_the_library(data: bytes) -> None:
+    assert crc32c(data) == checksum.crc32c(data)
+
+
+def test_the_checksum_of_the_standard() -> None:
+    assert checksum.crc32c(b"123456789") == 0xE3069283  # RFC 3720's polynomial, the usual check value
--- a/whintrail/cli/check.py
+++ b/whintrail/cli/check.py
@@ -27,5 +27,7 @@
     if show:
         click.echo(msgspec.json.format(msgspec.json.encode(given), indent=2).decode())
     else:
-        click.echo(f"{file}: can be used; the time line is {'off' if given.timeline is None else 'on'}")
+        parts = {"the time line": given.timeline, "the fleet": given.fleet}
+        told = ", ".join(f"{name} is {'off' if part is None else 'on'}" for name, part in parts.items())
+        click.echo(f"{file}: can be used; {told}")
     return 0
--- a/whintrail/fleet/state.py
+++ b/whintrail/fleet/state.py
@@ -8,9 +8,10 @@
 from typing import Annotated
 
 import msgspec
-from crc32c import crc32c
 from msgspec import Meta
 
+from whintrail.fleet.checksum import crc32c
+
 U32 = Annotated[int, Meta(ge=0, le=0xFFFFFFFF)]
 U64 = Annotated[int, Meta(ge=0, le=0x7FFFFFFFFFFFFFFF)]
 Number = Annotated[int, Meta(ge=0, le=0xFFFF)]  # of a gateway, its place among `peers`
--- a/whintrail/fleet/wire.py
+++ b/whintrail/fleet/wire.py
@@ -9,9 +9,9 @@
 from typing import Annotated, NamedTuple
 
 import msgspec
-from crc32c import crc32c
 from msgspec import Meta
 
+from whintrail.fleet.checksum import crc32c
 from whintrail.fleet.state import U32, U64, Any, Build, Name, Number, Why
 
 MOST_BYTES = 256
