--- a/benchmarks/fleetcost.py
+++ b/benchmarks/fleetcost.py
@@ -1,7 +1,8 @@
 """What a fleet part costs a gateway: python -m benchmarks.fleetcost [--rounds 6] [--rate 200]
 
 Two fleets of five processes at the same time, one with a `fleet` part in its file and one with a file that
-has none, each with engines of its own; both may talk (memos of probes). Idle: CPU of the leader, another of the council, and a member.
+has none, each with engines of its own; both may talk (memos of probes). Idle: CPU of the leader, another of
+the council, and a member.
 Then the same load on a member of each, pair by pair: CPU a request. Resident memory of each.
 """
 
