--- a/benchmarks/fleetfaults.py
+++ b/benchmarks/fleetfaults.py
@@ -112,7 +112,7 @@
         while not self.over:
             try:
                 session = self.given.client(number)
-            except OSError:
+            except (OSError, AssertionError):  # refused, or closed before it greeted
                 time.sleep(0.05)
                 continue
             with suppress(OSError, ValueError):
--- a/benchmarks/fleetrelease.py
+++ b/benchmarks/fleetrelease.py
@@ -45,7 +45,7 @@
         while not self.stop.is_set():
             try:
                 session = self.given.client(chance.randrange(len(self.given.ports)))
-            except OSError:
+            except (OSError, AssertionError):  # refused, or closed before it greeted
                 self.ends["refused connection"] += 1
                 time.sleep(0.02)
                 continue
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -105,6 +105,17 @@
     assert world.run(2, lambda: world.node(leader).state.release is not None)
 
 
+def test_a_leader_that_ends_hands_over_before_it_is_gone() -> None:
+    world = World(given, 5, 11)
+    world.run(6, lambda: world.leader() is not None)
+    leader = world.leader()
+    assert leader is not None
+    world.node(leader).leave(world.clock(leader))
+    assert world.run(2.5, lambda: world.leader() not in (None, leader))
+    world.run(3)
+    assert world.leader() != leader
+
+
 def test_one_after_another_forgets_and_nothing_is_lost() -> None:
     world = World(given, 5, 7)
     world.run(6, lambda: world.leader() is not None)
--- a/whintrail/fleet/council.py
+++ b/whintrail/fleet/council.py
@@ -111,6 +111,7 @@
         self.match: dict[int, int] = {}
         self.next: dict[int, int] = {}
         self.acked_at: dict[int, int] = {}
+        self.resigned = False
         self.standing: set[int] = set()  # others that take part, as far as this leader knows
         self.beat_at = now
         self.births: dict[int, int] = {}
@@ -401,6 +402,12 @@
         self.standing.clear()
         self.propose(now, Noop())
 
+    def resign(self, now: int) -> None:
+        """This process ends: it leads no more and asks for no votes, but answers while it can."""
+        self.resigned = True
+        if self.role in (Role.LEADER, Role.CANDIDATE):
+            self._follow(now, self.term, -1)
+
     # --- Entries.
 
     def propose(self, now: int, command: Any) -> int | None:
@@ -537,7 +544,7 @@
                 self.leader_at = now
             elif now >= self.beat_at:
                 self._beat(now)
-        elif now >= self.election_at:
+        elif now >= self.election_at and not self.resigned:
             self.leader = -1
             self.campaign(now, trial=True)
             lonely = self._lonely_us(now)
--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -334,6 +334,8 @@
             return REFUSED, "steps have to rise to the whole fleet", None
         under = self.replica.state.release
         if under is not None and under.status != ENDED:
+            if (under.build, under.steps, under.why, under.status) == (build, steps, why, RUNNING):
+                return DONE, "it is under way", None  # asked twice, as an answer may be lost
             return REFUSED, f"release {under.id} is {STATUS[under.status]}", None
         return DONE, "", Start(build, steps, why, self.wall_ms())
 
--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -41,7 +41,8 @@
     suspect_factor: float = 2.0  # times log10 of the members, in periods: the least time of a suspicion
     suspect_most: float = 3.0  # times that, before others confirm
     confirmations: int = 3
-    asks: int = 2  # how often a suspect is asked directly, a period apart, before it is taken for gone
+    asks: int = 6  # how often a suspect is asked directly before it is taken for gone
+    ask_us: int = 400_000  # so far apart
     retell: float = 5.0  # times log10 of the members: how often an update is told
     most_slow: int = 8  # of our own slowness, as Lifeguard counts it
     lifeguard: bool = True
@@ -211,7 +212,7 @@
         """Another takes it for gone: one's mistake must not be everybody's, so it is asked by us as well."""
         if member.life is Life.ALIVE:
             self._set(now, member, Life.SUSPECT, incarnation, member.birth, origin)
-        soon = now + self.pace.asks * self.pace.period_us
+        soon = now + self.pace.asks * self.pace.ask_us
         member.suspect_until = min(member.suspect_until, soon)
 
     # --- States.
@@ -277,8 +278,8 @@
                 continue
             if now >= member.suspect_until:
                 self._set(now, member, Life.GONE, member.incarnation, member.birth)
-            elif now >= member.suspect_until - self.pace.asks * self.pace.period_us:
-                if now - member.asked_at >= self.pace.period_us:  # its own word may have been lost on the way
+            elif now >= member.suspect_until - self.pace.asks * self.pace.ask_us:
+                if now - member.asked_at >= self.pace.ask_us:  # its own word may have been lost on the way
                     member.asked_at = now
                     self._tell_of(member.number, member)
         if now >= self.next_at:
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -419,6 +419,8 @@
         fence = self.holder.go(now, self.state)
         self.counts["left_by_slot" if fence else "left_without_slot"] += 1
         self.members.leave(fence)
+        if self.council is not None:
+            self.council.resign(now)
         return fence
 
     # --- Out.
