Halt a drain where losses use the budget, release by zone, and say why a slot was refused

A drain under way is undone once losses have used the budget for 2 s; a step may take one zone after another (--by-zone); each refusal is a line with its reason. Membership asks a probe's target once more itself and tells eight updates a datagram: at 20% loss gossip had more to tell than room.

Tests: the leader dies between granting and telling, a zone is cut off in the middle of a release, a halt during a split, a bound on what a gateway sends.

--- a/benchmarks/fleetfaults.py
+++ b/benchmarks/fleetfaults.py
@@ -7,6 +7,7 @@
 """
 
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -136,7 +137,7 @@
             else:
                 relay.fault = sound
             victims = range(COUNCIL) if random.random() < 0.08 else [random.randrange(SIZE)]
-            action = random.choice(["kill", "stop", "nothing"])
+            action = random.choice(["kill", "stop", "starve", "nothing"])
             for number in victims:
                 gateway = self.given.gateways[number]
                 if gateway.process.poll() is not None:
@@ -153,9 +154,22 @@
                         random.random() * 4, gateway.process.send_signal, (signal.SIGCONT,)
                     )
                     timer.start()
+                elif action == "starve":
+                    self.outside.counts["starved"] += 1
+                    threading.Thread(target=self.starve, args=(gateway.process, 3.0)).start()
             time.sleep(0.5 + random.random() * 2)
         relay.fault = sound
 
+    @staticmethod
+    def starve(process: "subprocess.Popen[bytes]", seconds: float) -> None:
+        """A tenth of a core."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(0.09)
+            process.send_signal(signal.SIGCONT)
+            time.sleep(0.01)
+
     def later(self, number: int, seconds: float) -> None:
         try:
             time.sleep(seconds)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -242,6 +242,25 @@
     assert auditor.breaches
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_the_leader_dies_between_granting_and_telling(seed: int) -> None:
+    world, auditor, supervisors = make(allowed=1, seed=seed)
+    supervisors[4].down_us = 3_000_000
+    supervisors[3].restart("old")
+    leader = world.leader()
+    assert leader is not None
+    assert world.run(2, lambda: 3 in world.node(leader).state.slots)  # decided
+    assert not supervisors[3].waits_us  # and not told
+    auditor.down[leader] = (world.now, False)
+    world.kill(leader)
+    world.run(0.5)
+    supervisors[leader].start()
+    supervisors[4].restart("old")
+    world.run(30)
+    assert supervisors[3].restarted and supervisors[4].restarted
+    assert not auditor.breaches and len({w.fence for w in auditor.went if w.fence}) >= 2
+
+
 # --- Drains of engines.
 
 
@@ -278,6 +297,20 @@
     assert wish(world, 8, WantDrain("e5", "", 0, False)) == 0  # out already: it costs nothing more
 
 
+def test_a_drain_is_halted_where_losses_use_the_budget() -> None:
+    world, _, _ = make()
+    world.busy[6, "e1"] = 1  # it is not done
+    assert wish(world, 8, WantDrain("e1", "", 0, False)) == 0
+    for number in range(9):
+        process = world.processes[number]
+        assert process is not None
+        process.engines = {**ENGINES, "e2": EngineSeen("c", "not fit"), "e5": EngineSeen("c", "not fit")}
+    world.run(1)
+    assert "e1" in world.state().drains  # one that was missed for a moment halts nothing
+    assert world.run(4, lambda: "e1" not in world.state().drains)
+    assert any("halted" in str(more.get("why")) for _, _, what, more in world.lines)
+
+
 def test_a_drain_past_its_time_undoes_itself_or_holds() -> None:
     world, _, _ = make()
     world.busy[6, "e1"] = world.busy[6, "e2"] = 1
@@ -423,6 +456,59 @@
     assert wish(world, 7, WantTurn(RUNNING, "")) == 2  # no majority: no way forward
 
 
+def test_a_release_by_zone_takes_one_after_another_though_a_zone_is_lost() -> None:
+    world, auditor, supervisors = make(count=9, allowed=2, zone=2)
+    for process in world.processes:
+        assert process is not None
+        process.rate = 80.0
+    world.rate = 80.0
+    assert wish(world, 4, WantRelease("new", (1000,), "", True)) == 0
+    order: list[str] = []
+    for turn in range(50):
+        release_to(world, supervisors, "new")
+        if turn == 2:  # the last zone is cut off for a while
+            world.fault = lambda a, b, _: [] if (a % 3 == 2) != (b % 3 == 2) else [0.0]
+        if turn == 5:
+            world.fault = sound
+        world.run(4)
+        for zone in ZONES:
+            there = [p for p in world.processes if p is not None and ZONES[p.number % 3] == zone]
+            if zone not in order and len(there) == 3 and all(p.build == "new" for p in there):
+                order.append(zone)
+        if status_of(world) == DONE:
+            break
+    assert status_of(world) == DONE and order == ["a", "b", "c"] and not auditor.breaches
+
+
+def test_a_halt_during_a_split_holds_on_the_side_of_the_majority_and_then_everywhere() -> None:
+    world, auditor, supervisors = make(count=9, allowed=2, zone=1)
+    assert wish(world, 4, WantRelease("new", (1000,), "")) == 0
+    world.fault = lambda a, b, _: [] if (a in (0, 3, 6)) != (b in (0, 3, 6)) else [0.0]
+    assert world.run(5, lambda: world.leader() in (1, 2))
+    assert wish(world, 4, WantTurn(HALTED, "by hand"), 10) == 0
+    auditor.halted_at = world.now
+    release_to(world, supervisors, "new")
+    world.run(10)
+    assert not any(w.fence for w in auditor.went)  # nor on the side that has not heard of it
+    world.fault = sound
+    assert world.run(5, lambda: world.node(6).state.release is not None and status_of(world) == HALTED)
+    release_to(world, supervisors, "new")
+    world.run(10)
+    assert not auditor.breaches and not any(w.fence for w in auditor.went)
+
+
+def test_what_a_gateway_sends_is_bounded_whatever_it_is_asked() -> None:
+    world, _, _ = make()
+    node = world.node(8)
+    for _ in range(5000):
+        node.wish(world.clock(8), WantUndrain("e1", ""), 5, False)
+    before, began = world.sent[8], world.now
+    world.run(5)
+    assert world.sent[8] - before <= 400 * ((world.now - began) / 1e6 + 1)
+    assert node.counts["held_back"] > 100
+    assert world.leader() is not None and node.members.count(node.members.mine.life) == 9  # it still lives
+
+
 def report(build: str, *counts: int) -> Report:
     return Report(0, 0, 0, build, 0, 10_000, 0, (), ((counts[0], counts[1], counts[2], counts[3]),))
 
--- a/whintrail/cli/fleet.py
+++ b/whintrail/cli/fleet.py
@@ -180,15 +180,16 @@
 @release.command()
 @click.argument("build")
 @click.option("--steps", default="0.02,0.1,0.5,1", show_default=True, help="Shares of the fleet on it.")
+@click.option("--by-zone", is_flag=True, help="Within a step, one zone after another.")
 @why_option
 @wait_option
 @socket_option
 @format_option
-def start(build: str, steps: str, why: str, wait_s: float, path: str, form: str) -> int:
+def start(build: str, steps: str, by_zone: bool, why: str, wait_s: float, path: str, form: str) -> int:
     """Begin a release; supervisors then get their slots by `may-restart`."""
     shares = read_steps(steps)
     check_steps(shares)
-    request = {"what": "release", "build": build, "steps": shares, "why": why}
+    request = {"what": "release", "build": build, "steps": shares, "why": why, "by_zone": by_zone}
     return settle(path, form, wait_s, f"release to {build}", **request)
 
 
--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -24,6 +24,7 @@
     Free,
     Grant,
     Lost,
+    Release,
     Slot,
     Start,
     Step,
@@ -58,6 +59,7 @@
     stale_us: int = 2_600_000  # a report older than that proves nothing
     proven_us: int = 3_000_000  # so long a new process has to have served
     ended_us: int = 4_500_000  # whoever said that it ends has ended by then
+    halted_us: int = 2_000_000  # losses have used the budget for so long: a drain under way is undone
     measure: Measure = field(default_factory=Measure)
 
 
@@ -98,6 +100,7 @@
     index: int  # a report that has applied this much knows of the drain
     since: int
     told: bool = False  # that it is past its limit
+    full_since: int = 0  # that losses have used the budget
 
 
 class Leader:
@@ -125,6 +128,7 @@
         self.comparison: Comparison | None = None
         self.compared: tuple[int, int] = (0, 0)  # the release and the step that it is of
         self.wanted_until = now
+        self.turned_away: dict[int, str] = {}  # members, and why last
 
     # --- Members.
 
@@ -195,12 +199,16 @@
                 word, text, command = LATER, "", Undrain(engine, why) if known else None
                 if not known:
                     word, text = DONE, "it is not drained"
-            case WantRelease(build, steps, why):
-                word, text, command = self._release(build, steps, why)
+            case WantRelease():
+                word, text, command = self._release(change)
             case WantTurn(status, why):
                 word, text, command = self._turn(status, why)
         if command is None:
             self._answer(origin, ask.id, word, self._fence(origin, birth, change), text)
+            if word != DONE and self.turned_away.get(origin) != text:  # once for each reason
+                self.turned_away[origin] = text
+                kind = type(change).__name__.removeprefix("Want").lower()
+                self.says(f"{kind} refused", {"member": origin, "why": text})
         else:
             self._propose(now, command, Pending(origin, ask.id, command))
 
@@ -276,9 +284,18 @@
                 target = under.target(len(self.members.members))
                 if len(on) >= target:
                     return LATER, f"step {under.step + 1}: {len(on)} of {target} are on {under.build}", None
+                if under.by_zone and (first := self._zone_first(under, on)) not in ("", self.zone(origin)):
+                    return LATER, f"step {under.step + 1}: zone {first} goes first", None
                 release = under.id
         return DONE, "", Grant(origin, birth, id, release, self.wall_ms())
 
+    def _zone_first(self, under: Release, on: set[int]) -> str:
+        """The first zone that has not its share of this step on the new build."""
+        for zone, size in sorted(self.sizes().items()):
+            if sum(self.zone(number) == zone for number in on) < under.target(size):
+                return zone
+        return ""
+
     def _council_needs(self, now: int, origin: int) -> str:
         """Whoever restarts forgets: were most of the council to, nobody could vouch for what is agreed."""
         council = self.council
@@ -311,6 +328,12 @@
             return DONE, "drained already", None
         if want.engine not in self.engines:
             return REFUSED, "no such engine in the list", None
+        if (full := self._engine_room(want.engine)) and not self.engines[want.engine].out:
+            return REFUSED, full, None  # one that is out anyway costs nothing more
+        return DONE, "", DrainEngine(want.engine, want.why, want.limit_s, want.undo, self.wall_ms())
+
+    def _engine_room(self, engine: str) -> str:
+        """Why one more may not be out beside all others that are; empty if it may."""
         out = {
             name: Out(name, seen.zone, seen.out or "drained")
             for name, seen in self.engines.items()
@@ -319,25 +342,22 @@
         for command in self.council.undecided:
             if isinstance(command, DrainEngine) and command.engine in self.engines:
                 out[command.engine] = Out(command.engine, self.engines[command.engine].zone, "on its way")
-        already = out.pop(want.engine, None)  # one that is out anyway costs nothing more
+        out.pop(engine, None)
         sizes: dict[str, int] = {}
         for seen in self.engines.values():
             sizes[seen.zone] = sizes.get(seen.zone, 0) + 1
-        zone = self.engines[want.engine].zone
-        full = room(self.rules.engines, out.values(), zone, sizes, len(self.engines))
-        if full and already is None:
-            return REFUSED, full, None
-        return DONE, "", DrainEngine(want.engine, want.why, want.limit_s, want.undo, self.wall_ms())
+        zone = self.engines[engine].zone
+        return room(self.rules.engines, out.values(), zone, sizes, len(self.engines))
 
-    def _release(self, build: str, steps: tuple[int, ...], why: str) -> "Found":
+    def _release(self, want: WantRelease) -> "Found":
+        steps, under = want.steps, self.replica.state.release
         if list(steps) != sorted(set(steps)) or steps[-1] != 1000 or steps[0] <= 0:
             return REFUSED, "steps have to rise to the whole fleet", None
-        under = self.replica.state.release
         if under is not None and under.status != ENDED:
-            if (under.build, under.steps, under.why, under.status) == (build, steps, why, RUNNING):
+            if (under.build, under.steps, under.why, under.status) == (want.build, steps, want.why, RUNNING):
                 return DONE, "it is under way", None  # asked twice, as an answer may be lost
             return REFUSED, f"release {under.id} is {STATUS[under.status]}", None
-        return DONE, "", Start(build, steps, why, self.wall_ms())
+        return DONE, "", Start(want.build, steps, want.why, self.wall_ms(), want.by_zone)
 
     def _turn(self, status: int, why: str) -> "Found":
         under = self.replica.state.release
@@ -419,6 +439,10 @@
             return None
         if not self.waits_for(now, engine):
             return Drained(engine, drain.fence)
+        full = self._engine_room(engine) if engine in self.engines else ""
+        watch.full_since = 0 if not full else watch.full_since or now
+        if full and now - watch.full_since > self.rules.halted_us:  # not for one lost answer somewhere
+            return Undrain(engine, f"halted: {full}"[:64])
         if drain.limit_s and now - watch.since > drain.limit_s * 1_000_000:
             if drain.undo:
                 return Undrain(engine, "past its time")
--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -19,7 +19,7 @@
 from whintrail.fleet.wire import Ack, Leaving, Message, Nack, Note, Ping, PingAsk, Update
 
 MOST_INCARNATION = 0xFFFFFFFF
-MOST_GOSSIP = 6
+MOST_GOSSIP = 8
 
 
 class Life(IntEnum):
@@ -37,7 +37,7 @@
 
     period_us: int = 1_000_000
     answer_us: int = 300_000
-    helpers: int = 3
+    helpers: int = 4
     suspect_factor: float = 2.0  # times log10 of the members, in periods: the least time of a suspicion
     suspect_most: float = 3.0  # times that, before others confirm
     confirmations: int = 3
@@ -327,6 +327,8 @@
             able = [number for number in able if number not in (self.me, probe.target)]
             for helper in self.random.sample(able, min(self.pace.helpers, len(able))):
                 self._say(helper, PingAsk(seq, probe.target))
+            if self.pace.asks:  # once more ourselves: a lost datagram is likelier than a cut way
+                self._say(probe.target, Ping(seq, self.note(), self._news(probe.target)))
             probe.origin_seq = min(self.pace.helpers, len(able))  # so many were asked
         if now < probe.last:
             return
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -299,13 +299,16 @@
                 self._said("engine undrained", engine=engine, why=why)
             case Drained(engine):
                 self._said("engine drain done", engine=engine)
-            case Start(build, steps):
+            case Start(build, steps, _, _, _):
                 self._said("release started", build=build, steps=len(steps))
             case Step(release, step, _):
                 self._said("release step", release=release, step=step + 1)
             case Turn(release, status, why):
                 self._said(f"release {STATUS[status]}", release=release, why=why)
 
+    def _refused(self, what: str, more: dict[str, object]) -> None:
+        self._said(what, **more)
+
     def _said(self, what: str, **more: object) -> None:
         self.counts[what.replace(" ", "_")] += 1
         self.says(what, more)
@@ -320,7 +323,7 @@
                 self.replica.pull(now, council.wants_state)
             council.install(self.replica.position)
         if self.leads and self.leader is None:
-            args = self.given.rules, self.given.zones, self.wall_ms, self.says
+            args = self.given.rules, self.given.zones, self.wall_ms, self._refused
             self.leader = Leader(now, council, self.replica, self.members, *args)
             self.leader.engines = self.local.engines()
             self._led(now, council.epoch, council.term, self.given.me)
--- a/whintrail/fleet/state.py
+++ b/whintrail/fleet/state.py
@@ -77,6 +77,7 @@
     steps: Annotated[tuple[Permille, ...], Meta(min_length=1, max_length=MOST_STEPS)]
     why: Why
     at_ms: U64
+    by_zone: bool  # within a step, one zone after another
 
 
 # Of each class, what share of the old build's queries failed, were refused, came late; in thousandths.
@@ -132,6 +133,7 @@
     at_ms: int
     step: int = 0
     status: int = RUNNING
+    by_zone: bool = False
     said: str = ""  # why it was halted, turned back or ended
     usual: tuple[tuple[int, int, int], ...] = ()
 
@@ -184,7 +186,7 @@
                     return f"release {self.release.id} is {STATUS[self.release.status]}"
                 self.releases += 1
                 given = command.build, command.steps, command.why, command.at_ms
-                self.release = Release(self.releases, *given)
+                self.release = Release(self.releases, *given, by_zone=command.by_zone)
             case Step(release, step, usual):
                 found = self.release
                 if found is None or found.id != release or found.status != RUNNING:
--- a/whintrail/fleet/wire.py
+++ b/whintrail/fleet/wire.py
@@ -275,6 +275,7 @@
         Meta(min_length=1, max_length=8),
     ]
     why: Why
+    by_zone: bool = False
 
 
 class WantTurn(Message, frozen=True, tag=45):
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -309,6 +309,7 @@
     wait_s: float = 5.0
     wait: bool = False
     stop: bool = False
+    by_zone: bool = False
 
 
 TURNS = {"halt": HALTED, "resume": RUNNING, "back": BACK}
@@ -357,7 +358,7 @@
                 change = WantUndrain(request.engine, request.why)
             case "release":
                 steps = tuple(round(step * 1000) for step in request.steps)
-                change = WantRelease(request.build, steps, request.why)
+                change = WantRelease(request.build, steps, request.why, request.by_zone)
             case "halt" | "resume" | "back" as turn:
                 change = WantTurn(TURNS[turn], request.why)
             case other:
--- a/whintrail/standins/simulated.py
+++ b/whintrail/standins/simulated.py
@@ -84,12 +84,13 @@
         seed: int,
         engines: dict[str, EngineSeen] | None = None,
         drift: float = 0.0,
+        tick_us: int = TICK_US,
     ) -> None:
         """`given`: the settings of a gateway on a build; all start with build `old`."""
         self.given, self.count, self.random = given, count, Random(seed)
         self.engines = engines or {}
         self.fault: Fault = sound
-        self.drift = drift
+        self.drift, self.tick_us = drift, tick_us
         self.now = 0
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.numbered = 0
@@ -150,7 +151,7 @@
             lambda what, more: self.lines.append((self.now, number, what, more)),
         )
         self.processes[number] = process
-        self.at(self.now + self.random.randrange(TICK_US), lambda: self._tick(process))
+        self.at(self.now + self.random.randrange(self.tick_us), lambda: self._tick(process))
         return process
 
     def kill(self, number: int) -> None:
@@ -203,7 +204,7 @@
             node.take(process.clock(self.now), origin, data)
         node.tick(process.clock(self.now))
         self.flush(process)
-        self.at(self.now + TICK_US, lambda: self._tick(process))
+        self.at(self.now + self.tick_us, lambda: self._tick(process))
 
     def flush(self, process: Process) -> None:
         assert process.node is not None
