--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -16,7 +16,7 @@
 
     def tick(self, now: int) -> None:
         if self.role is Role.RECOVERING:
-            self.role, self.epoch, self.base, self.term = Role.FOLLOWER, 1 << 32, (1 << 32, 0, 0), 1
+            self.role, self.epoch, self.log.base, self.term = Role.FOLLOWER, 1 << 32, (1 << 32, 0, 0), 1
         super().tick(now)
 
 
@@ -25,7 +25,7 @@
 
     def _recover_told(self, now: int, origin: int, tell: RecoverTell) -> None:
         if self.role is Role.RECOVERING and self.target is None and tell.nonce == self.nonce:
-            self.term, self.epoch, self.base = tell.term, tell.epoch, (tell.epoch, 0, 0)
+            self.term, self.epoch, self.log.base = tell.term, tell.epoch, (tell.epoch, 0, 0)
             self.role = Role.FOLLOWER
 
 
--- a/whintrail/fleet/council.py
+++ b/whintrail/fleet/council.py
@@ -14,15 +14,14 @@
 Nothing here reads a clock: times are monotonic microseconds of the caller. Safety rests on none of them.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
+from whintrail.fleet.log import Log
 from whintrail.fleet.state import Any, Noop
 from whintrail.fleet.wire import (
-    MOST_BYTES,
     Append,
     AppendTell,
     Crown,
@@ -95,9 +94,7 @@
         self.role = Role.RECOVERING
         self.epoch, self.term, self.leader = 0, 0, -1
         self.voted: tuple[int, int] | None = None  # whom in this term, and its ballot
-        self.base: Position = (0, 0, 0)  # before the first entry of the log
-        self.log: deque[Entry] = deque()
-        self.commit = 0
+        self.log = Log(self.pace.keep_entries)
         # As one that recovers.
         self.nonce, self.since = random.getrandbits(NONCE_BITS) | 1, now
         self.told: dict[int, RecoverTell] = {}
@@ -121,44 +118,19 @@
 
     # --- The log.
 
-    @property
-    def last(self) -> int:
-        return self.log[-1].index if self.log else self.base[2]
-
-    @property
-    def last_term(self) -> int:
-        return self.log[-1].term if self.log else self.base[1]
-
     @property
     def position(self) -> Position:
         """The furthest that this process remembers, as a voter or only as one who was told."""
-        return max((self.epoch, self.last_term, self.last), self.known())
-
-    def _term_at(self, index: int) -> int | None:
-        if index == self.base[2]:
-            return self.base[1]
-        if not self.base[2] < index <= self.last:
-            return None
-        return self.log[index - self.base[2] - 1].term
-
-    def _decided(self, until: int) -> None:
-        while self.commit < until:
-            self.commit += 1
-            self.decide(self.log[self.commit - self.base[2] - 1])
-        while len(self.log) > self.pace.keep_entries and self.log[0].index < self.commit:
-            first = self.log.popleft()
-            self.base = (self.epoch, first.term, first.index)
+        return max((self.epoch, self.log.last_term, self.log.last), self.known())
 
     def install(self, position: Position) -> None:
         """The state as of `position` was taken over as a whole; what is behind it comes from the leader."""
         if position[0] != (self.target[0] if self.target else self.epoch):
             return
-        if position[0] == self.epoch and position[2] <= self.commit:
+        if position[0] == self.epoch and position[2] <= self.log.commit:
             return
-        kept = [e for e in self.log if e.index > position[2]]
-        sound = self._term_at(position[2]) == position[1] and self.epoch == position[0]
-        self.base, self.commit = position, position[2]
-        self.log = deque(kept if sound else ())
+        sound = self.log.term_at(position[2]) == position[1] and self.epoch == position[0]
+        self.log.rebase(position, keep_rest=sound)
         self.epoch, self.lacking = position[0], None
         self._caught_up()
 
@@ -204,7 +176,7 @@
         """It started anew: what it held and said before is gone."""
         self.births[origin] = birth
         self.match[origin] = 0
-        self.next[origin] = self.last + 1
+        self.next[origin] = self.log.last + 1
         self.acked_at.pop(origin, None)
         self.votes.discard(origin)
         self.told.pop(origin, None)
@@ -243,7 +215,7 @@
         if self.role is Role.RECOVERING:
             return
         lonely = 0 if self.role is Role.LEADER else now - self.leader_at
-        given = ask.nonce, self.epoch, self.term, self.role is Role.LEADER, self.last
+        given = ask.nonce, self.epoch, self.term, self.role is Role.LEADER, self.log.last
         self._say(origin, RecoverTell(*given, min(lonely // 1000, 0xFFFFFFFF)))
 
     def _recover_told(self, now: int, origin: int, tell: RecoverTell) -> None:
@@ -265,7 +237,7 @@
         self._caught_up()
 
     def _caught_up(self) -> None:
-        if self.target is not None and self.epoch == self.target[0] and self.last >= self.target[2]:
+        if self.target is not None and self.epoch == self.target[0] and self.log.last >= self.target[2]:
             if self.lacking is None:
                 self.role, self.target, self.promised = Role.FOLLOWER, None, 0
                 self.told.clear()
@@ -325,15 +297,15 @@
     def _begin_epoch(self, now: int, epoch: int) -> None:
         """All have promised: nothing can be decided in an earlier epoch any more, and whoever holds most
         holds all that ever was, as far as anybody remembers it."""
-        if self.known() > (self.epoch, self.last_term, self.last):
-            self.commit = self.known()[2]
+        if self.known() > (self.epoch, self.log.last_term, self.log.last):
+            commit = self.known()[2]
         else:
-            self._decided(self.last)
-        self.log.clear()
+            self.log.decide(self.log.last, self.decide)
+            commit = self.log.commit
         self.epoch, self.term, self.promised, self.target = epoch, 1, 0, None
-        self.base = (epoch, 0, self.commit)
+        self.log.rebase((epoch, 0, commit), keep_rest=False)
         self.agreed.clear()
-        self.renew(self.base)
+        self.renew(self.log.base)
         self._lead(now)
 
     # --- Elections.
@@ -350,13 +322,14 @@
             self.voted = (self.me, self.ballot)
         term = self.term + 1 if trial else self.term
         for number in self.others:
-            self._say(number, VoteAsk(self.epoch, term, self.ballot, self.last_term, self.last, trial))
+            held = self.log.last_term, self.log.last
+            self._say(number, VoteAsk(self.epoch, term, self.ballot, *held, trial))
         self._count_votes(now)
 
     def _vote_asked(self, now: int, origin: int, ask: VoteAsk) -> None:
         if self.role is Role.RECOVERING or ask.epoch != self.epoch:
             return
-        good = (ask.last_term, ask.last) >= (self.last_term, self.last)
+        good = (ask.last_term, ask.last) >= (self.log.last_term, self.log.last)
         led = self.role is Role.LEADER or (self.leader >= 0 and now - self.leader_at < self.pace.election_us)
         if ask.trial:
             yes = good and not led and ask.term > self.term
@@ -397,7 +370,7 @@
     def _lead(self, now: int) -> None:
         self.role, self.leader, self.votes = Role.LEADER, self.me, set()
         self.match = dict.fromkeys(self.others, 0)
-        self.next = dict.fromkeys(self.others, self.last + 1)
+        self.next = dict.fromkeys(self.others, self.log.last + 1)
         self.acked_at = dict.fromkeys(self.others, now)
         self.standing.clear()
         self.propose(now, Noop())
@@ -415,8 +388,8 @@
         None."""
         if self.role is not Role.LEADER:
             return None
-        self.log.append(Entry(self.last + 1, self.term, command))
-        index = self.last
+        index = self.log.last + 1
+        self.log.append(Entry(index, self.term, command))
         self._advance()
         self._beat(now)
         return index
@@ -424,7 +397,7 @@
     @property
     def undecided(self) -> list[Any]:
         """Commands proposed and not yet decided: a leader counts them as done already."""
-        return [entry.command for entry in self.log if entry.index > self.commit]
+        return [entry.command for entry in self.log.undecided]
 
     def _beat(self, now: int) -> None:
         self.beat_at = now + self.pace.beat_us
@@ -432,18 +405,11 @@
             self._append(number)
 
     def _append(self, number: int) -> None:
-        before = max(self.next.get(number, self.last + 1) - 1, self.base[2])
-        term, skipped = self._term_at(before), before - self.base[2]
-        message = Append(self.epoch, self.term, term or 0, before, self.commit, ())
-        room = MOST_BYTES - size(message) - 4
-        entries: list[Entry] = []
-        for index in range(skipped, len(self.log)):
-            room -= size(self.log[index])  # more than it takes: a head of its own is counted in
-            if (entries and room < 0) or len(entries) >= 32:
-                break
-            entries.append(self.log[index])
-        given = self.epoch, self.term, term or 0, before, self.commit
-        self._say(number, Append(*given, tuple(entries)))
+        log = self.log
+        before = max(self.next.get(number, log.last + 1) - 1, log.base[2])
+        given = self.epoch, self.term, log.term_at(before) or 0, before, log.commit
+        entries = log.batch(before, size(Append(*given, ())) + 4)
+        self._say(number, Append(*given, entries))
 
     def _appended(self, now: int, origin: int, append: Append) -> None:
         recovering = self.role is Role.RECOVERING
@@ -465,7 +431,7 @@
             self._recover(now)  # decided without us: learn of it from a majority
             return
         elif append.epoch < self.epoch or append.term < self.term:
-            self._say(origin, AppendTell(self.epoch, self.term, False, self.last, False, self._view()))
+            self._say(origin, AppendTell(self.epoch, self.term, False, self.log.last, False, self._view()))
             return
         elif append.term > self.term or self.role is not Role.FOLLOWER or self.leader != origin:
             self._follow(now, append.term, origin)
@@ -478,24 +444,14 @@
 
     def _fit(self, append: Append) -> tuple[bool, int]:
         """Whether the entries follow on what is held, and up to where both agree."""
-        if append.last < self.base[2]:  # all up to our base is decided, and so the same
-            entries = [e for e in append.entries if e.index > self.base[2]]
-            held = self.base[2]
-        else:
-            if self._term_at(append.last) != append.last_term:
-                if append.last == self.missed and append.last > self.last:
-                    self.lacking = self.leader  # it can't go further back: only its whole state helps
-                self.missed = append.last
-                return False, max(self.commit, min(self.last, append.last - 1))
-            entries, held = list(append.entries), append.last
+        held = self.log.merge(append.last, append.last_term, append.entries)
+        if held is None:
+            if append.last == self.missed and append.last > self.log.last:
+                self.lacking = self.leader  # it can't go further back: only its whole state helps
+            self.missed = append.last
+            return False, max(self.log.commit, min(self.log.last, append.last - 1))
         self.lacking, self.missed = None, -1
-        for entry in entries:
-            if self._term_at(entry.index) != entry.term:
-                while self.last >= entry.index:
-                    self.log.pop()
-                self.log.append(entry)
-            held = entry.index
-        self._decided(min(append.commit, held))
+        self.log.decide(min(append.commit, held), self.decide)
         return True, held
 
     def _append_told(self, now: int, origin: int, tell: AppendTell) -> None:
@@ -507,22 +463,24 @@
             return
         self.acked_at[origin], self.views[origin] = now, tell.births
         if not tell.good:
-            self.next[origin] = max(self.base[2] + 1, min(self.next[origin] - 1, tell.last + 1))
+            self.next[origin] = max(self.log.base[2] + 1, min(self.next[origin] - 1, tell.last + 1))
             return
         self.next[origin] = max(self.next[origin], tell.last + 1)
         if not tell.learns:
             self.standing.add(origin)
             self.match[origin] = max(self.match[origin], tell.last)
             self._advance()
-        if self.next[origin] <= self.last:
+        if self.next[origin] <= self.log.last:
             self._append(origin)
 
     def _advance(self) -> None:
-        sound = self._sound({n for n in self.others if self.match.get(n, 0) > self.commit})
-        held = sorted([self.last, *(self.match[n] if n in sound else 0 for n in self.others)], reverse=True)
+        sound = self._sound({n for n in self.others if self.match.get(n, 0) > self.log.commit})
+        held = sorted(
+            [self.log.last, *(self.match[n] if n in sound else 0 for n in self.others)], reverse=True
+        )
         index = held[self.majority - 1]
-        if index > self.commit and self._term_at(index) == self.term:  # earlier terms' come with ours
-            self._decided(index)
+        if index > self.log.commit and self.log.term_at(index) == self.term:  # earlier terms come along
+            self.log.decide(index, self.decide)
 
     # --- Time.
 
@@ -549,7 +507,7 @@
             self.campaign(now, trial=True)
             lonely = self._lonely_us(now)
             if lonely >= self.pace.quarantine_us:  # told unasked: who decides to begin anew has to know
-                given = 0, self.epoch, self.term, False, self.last, min(lonely // 1000, 0xFFFFFFFF)
+                given = 0, self.epoch, self.term, False, self.log.last, min(lonely // 1000, 0xFFFFFFFF)
                 for number in self.others:
                     self._say(number, RecoverTell(*given))
                 self._try_reform(now)
--- a/whintrail/standins/explore.py
+++ b/whintrail/standins/explore.py
@@ -81,9 +81,9 @@
         c.term,
         c.leader,
         c.voted,
-        c.base,
-        tuple(c.log),
-        c.commit,
+        c.log.base,
+        tuple(c.log.entries),
+        c.log.commit,
         c.nonce,
         tuple(sorted(c.told.items())),
         c.target,
@@ -153,7 +153,7 @@
         other.members = list(self.members)
         council = self.members[number]
         twin = copy(council)
-        twin.log, twin.out = deque(council.log), []
+        twin.log, twin.out = council.log.clone(), []
         for name in ("told", "heard", "agreed", "match", "next", "acked_at", "births", "views"):
             setattr(twin, name, dict(getattr(council, name)))
         twin.votes = set(council.votes)
@@ -249,7 +249,7 @@
     for council in table.members:
         for other in table.members:
             council.births[other.me] = other.birth
-        council.epoch, council.base, council.role = 1 << 32, (1 << 32, 0, 0), Role.FOLLOWER
+        council.epoch, council.log.base, council.role = 1 << 32, (1 << 32, 0, 0), Role.FOLLOWER
         council.term, council.leader, council.voted = 1, 0, (0, 0)
     table.heights = [(1 << 32, 0, 0)] * count
     table.members[0]._lead(0)
@@ -263,7 +263,7 @@
             then = table.deliver(mail)
             then.settle(table.post.letters[mail][2], False)
             table = then
-    assert all(c.commit == 1 and isinstance(c.log[0].command, Noop) for c in table.members)
+    assert all(c.log.commit == 1 and isinstance(c.log.entries[0].command, Noop) for c in table.members)
     table.births = count
     return table
 
