Begin settings with versions on which the gateways agree: bodies, leases, their way through the council

Need: settings reach each process by its own file and signal, so two gateways may act on rules that contradict each other for as long as a file is late or a process sleeps.

Not yet in the gateway.

--- a/whintrail/fleet/council.py
+++ b/whintrail/fleet/council.py
@@ -108,7 +108,8 @@
         self.match: dict[int, int] = {}
         self.next: dict[int, int] = {}
         self.acked_at: dict[int, int] = {}
-        self.resigned = False
+        self.confirmed: dict[int, int] = {}  # when what each answered last was sent, at the latest
+        self.resigned, self.now = False, now
         self.standing: set[int] = set()  # others that take part, as far as this leader knows
         self.beat_at = now
         self.births: dict[int, int] = {}
@@ -144,6 +145,7 @@
     # --- In.
 
     def take(self, now: int, origin: int, birth: int, message: Message) -> None:
+        self.now = now
         if origin not in self.others:
             return
         if self.births.get(origin) != birth:
@@ -183,6 +185,15 @@
         self.agreed.pop(origin, None)
         self.views.pop(origin, None)
         self.standing.discard(origin)
+        self.confirmed.pop(origin, None)
+
+    def surely_leads(self, now: int) -> bool:
+        """Nobody else can lead at this moment: most of the council followed us so shortly ago that they give
+        no vote yet. It rests on clocks that run alike, to a third."""
+        if self.role is not Role.LEADER:
+            return False
+        heard = sorted([now, *(self.confirmed.get(n, 0) for n in self.others)], reverse=True)
+        return now - heard[self.majority - 1] < self.pace.election_us * 2 // 3
 
     def away(self, now: int) -> list[int]:
         """As the leader sees it: others of the council that vouch for nothing at present."""
@@ -373,6 +384,7 @@
         self.next = dict.fromkeys(self.others, self.log.last + 1)
         self.acked_at = dict.fromkeys(self.others, now)
         self.standing.clear()
+        self.confirmed.clear()
         self.propose(now, Noop())
 
     def resign(self, now: int) -> None:
@@ -400,14 +412,15 @@
         return [entry.command for entry in self.log.undecided]
 
     def _beat(self, now: int) -> None:
-        self.beat_at = now + self.pace.beat_us
+        self.beat_at, self.now = now + self.pace.beat_us, now
         for number in self.others:
             self._append(number)
 
     def _append(self, number: int) -> None:
         log = self.log
         before = max(self.next.get(number, log.last + 1) - 1, log.base[2])
-        given = self.epoch, self.term, log.term_at(before) or 0, before, log.commit
+        stamp = (self.now // 1000) & 0xFFFFFFFF
+        given = self.epoch, self.term, log.term_at(before) or 0, before, log.commit, stamp
         entries = log.batch(before, size(Append(*given, ())) + 4)
         self._say(number, Append(*given, entries))
 
@@ -425,13 +438,16 @@
             if self.epoch != append.epoch:  # only a whole state brings us there
                 self.leader, self.leader_at = origin, now
                 self._await_leader(now)
-                self._say(origin, AppendTell(append.epoch, append.term, False, 0, True, self._view()))
+                self._say(
+                    origin, AppendTell(append.epoch, append.term, False, 0, append.stamp, True, self._view())
+                )
                 return
         elif append.epoch > self.epoch:
             self._recover(now)  # decided without us: learn of it from a majority
             return
         elif append.epoch < self.epoch or append.term < self.term:
-            self._say(origin, AppendTell(self.epoch, self.term, False, self.log.last, False, self._view()))
+            given = self.epoch, self.term, False, self.log.last, append.stamp, False
+            self._say(origin, AppendTell(*given, self._view()))
             return
         elif append.term > self.term or self.role is not Role.FOLLOWER or self.leader != origin:
             self._follow(now, append.term, origin)
@@ -440,7 +456,7 @@
         good, last = self._fit(append)
         self._caught_up()
         learns = self.role is Role.RECOVERING
-        self._say(origin, AppendTell(self.epoch, self.term, good, last, learns, self._view()))
+        self._say(origin, AppendTell(self.epoch, self.term, good, last, append.stamp, learns, self._view()))
 
     def _fit(self, append: Append) -> tuple[bool, int]:
         """Whether the entries follow on what is held, and up to where both agree."""
@@ -462,6 +478,9 @@
         if self.role is not Role.LEADER or tell.term != self.term:
             return
         self.acked_at[origin], self.views[origin] = now, tell.births
+        passed = ((now // 1000) - tell.stamp) & 0xFFFFFFFF
+        if not tell.learns and passed < 60_000:
+            self.confirmed[origin] = max(self.confirmed.get(origin, 0), now - (passed + 1) * 1000)
         if not tell.good:
             self.next[origin] = max(self.log.base[2] + 1, min(self.next[origin] - 1, tell.last + 1))
             return
@@ -485,6 +504,7 @@
     # --- Time.
 
     def tick(self, now: int) -> None:
+        self.now = now
         if self.role is Role.RECOVERING:
             if now < self.beat_at:
                 return
--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -24,6 +24,7 @@
     Free,
     Grant,
     Lost,
+    Propose,
     Release,
     Slot,
     Start,
@@ -47,6 +48,7 @@
     WantSlot,
     WantTurn,
     WantUndrain,
+    WantVersion,
 )
 
 NO_ZONE = 255
@@ -203,6 +205,8 @@
                 word, text, command = self._release(change)
             case WantTurn(status, why):
                 word, text, command = self._turn(status, why)
+            case WantVersion():
+                word, text, command = self._version(origin, change)
         if command is None:
             self._answer(origin, ask.id, word, self._fence(origin, birth, change), text)
             if word != DONE and self.turned_away.get(origin) != text:  # once for each reason
@@ -367,6 +371,17 @@
             return DONE, f"it is {STATUS[status]}", None
         return DONE, "", Turn(under.id, status, why)
 
+    def _version(self, origin: int, want: WantVersion) -> "Found":
+        versions = self.replica.state.versions
+        for version in (versions.next, versions.current):
+            if version is not None and (version.number, version.digest) == (want.number, want.digest):
+                return DONE, "", None  # asked twice, as an answer may be lost
+        if versions.next is not None:
+            return REFUSED, f"version {versions.next.number} is on its way", None
+        if want.number != versions.number + 1:
+            return REFUSED, f"version {versions.number} is in force: made on another", None
+        return DONE, "", Propose(want.number, want.digest, origin, want.why, self.wall_ms())
+
     # --- Time.
 
     def on_build(self, now: int, build: str) -> set[int]:
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -19,9 +19,13 @@
     STATUS,
     Drained,
     DrainEngine,
+    Drop,
+    Enter,
     Free,
     Grant,
     Lost,
+    Propose,
+    Settle,
     Start,
     State,
     Step,
@@ -35,9 +39,13 @@
     Append,
     AppendTell,
     Ask,
+    BodyPiece,
+    BodyPull,
     Change,
     Crown,
     Entry,
+    LeaseAsk,
+    LeaseTell,
     Leaving,
     Message,
     Nack,
@@ -60,6 +68,9 @@
     encode,
     fleet_id,
 )
+from whintrail.versions.body import Body
+from whintrail.versions.guide import Guide
+from whintrail.versions.member import Member, VersionPace
 
 COUNCIL = (
     RecoverAsk,
@@ -73,7 +84,8 @@
     Crown,
 )
 MEMBERSHIP = (Ping, Ack, PingAsk, Nack, Leaving)
-URGENCY: dict[type, int] = {Told: 2, Answer: 2, Ask: 2, Wanted: 2, Report: 3, Pull: 4, Piece: 4}
+URGENCY: dict[type, int] = {Told: 2, Answer: 2, Ask: 2, Wanted: 2, LeaseAsk: 1, LeaseTell: 1}
+URGENCY |= {Report: 3, Pull: 4, Piece: 4, BodyPull: 5, BodyPiece: 5}
 REPORT_US, WANTED_US, RETELL_US = 500_000, 4_000_000, 200_000
 RETELLS = 3
 
@@ -95,6 +107,7 @@
     use_us: int = 1_500_000
     messages_per_s: float = 400.0
     bytes_per_s: float = 40_000.0
+    versions: VersionPace | None = None  # None: settings have no versions
 
 
 class Local(Protocol):
@@ -107,6 +120,9 @@
 
     def counts(self) -> tuple[tuple[int, int, int, int], ...]: ...
     def engines(self) -> dict[str, EngineSeen]: ...
+    def check_body(self, body: Body) -> str:
+        """Why this gateway can't act on a version; empty where it can."""
+        ...
 
 
 @dataclass(slots=True)
@@ -178,6 +194,10 @@
             )
         self.leader: Leader | None = None
         self.holder = Holder(given.me, birth, random, given.use_us)
+        self.versions: Member | None = None
+        self.guide: Guide | None = None
+        if given.versions is not None:
+            self.versions = Member(random, local.check_body, given.versions)
         self.known = (0, 0, -1)  # epoch, term and number of the newest leader heard of
         self.known_at = now
         self.spending = Spending(given.messages_per_s, given.bytes_per_s, at=now)
@@ -272,6 +292,57 @@
                     self._say(origin, Answer(message.id, 2, 0, "it does not lead"))
             case Answer():
                 self.holder.answered(now, message, self.state)
+            case LeaseAsk() | LeaseTell() | BodyPull() | BodyPiece():
+                if self.versions is not None:
+                    self._version(now, origin, birth, message, self.versions)
+
+    # --- Versions of the settings.
+
+    def _version(
+        self,
+        now: int,
+        origin: int,
+        birth: int,
+        message: LeaseAsk | LeaseTell | BodyPull | BodyPiece,
+        versions: Member,
+    ) -> None:
+        match message:
+            case LeaseAsk():
+                if self.guide is not None and self.council is not None:
+                    sure = self.council.surely_leads(now)
+                    tell = self.guide.asked(now, origin, birth, message, self.state.versions, sure)
+                    if tell is not None and origin == self.given.me:
+                        versions.told(now, tell, self.state.versions)
+                    elif tell is not None:
+                        self._say(origin, tell)
+            case LeaseTell():
+                versions.told(now, message, self.state.versions)
+            case BodyPull():
+                if (piece := versions.pulled(message)) is not None:
+                    self._say(origin, piece)
+            case BodyPiece():
+                versions.piece(now, origin, message)
+
+    def _tick_versions(self, now: int, versions: Member, target: int | None) -> None:
+        agreed = self.state.versions
+        versions.wanted(agreed)
+        if versions.parts.fetching:
+            alive = [m.number for m in self.members.members if m.life is Life.ALIVE]
+            holders = [number for number in alive if number != self.given.me]
+            for of, pull in versions.pulls(now, holders):
+                self._say(of, pull)
+        if target is not None and (ask := versions.ask(now, agreed)) is not None:
+            if target == self.given.me:
+                self._version(now, target, self.birth, ask, versions)
+            else:
+                self._say(target, ask)
+        if self.guide is not None and self.council is not None and not self.council.undecided:
+            members = self.members.members
+            alive = [m.number for m in members if m.life is Life.ALIVE]
+            birth_of = lambda number: members[number].birth  # noqa: E731
+            command = self.guide.tick(now, agreed, alive, self.given.count, birth_of)
+            if command is not None:
+                self.council.propose(now, command)
 
     # --- What changed.
 
@@ -303,6 +374,14 @@
                 self._said("release started", build=build, steps=len(steps))
             case Step(release, step, _):
                 self._said("release step", release=release, step=step + 1)
+            case Propose(number, _, by, why):
+                self._said("version proposed", version=number, by=by, why=why)
+            case Enter(number):
+                self._said("version enters", version=number)
+            case Settle(number):
+                self._said("version in force", version=number)
+            case Drop(number, why):
+                self._said("version dropped", version=number, why=why)
             case Turn(release, status, why):
                 self._said(f"release {STATUS[status]}", release=release, why=why)
 
@@ -328,9 +407,11 @@
             self.leader.engines = self.local.engines()
             self._led(now, council.epoch, council.term, self.given.me)
             self.wanted_at = now - 1_000_000
+            if self.given.versions is not None:
+                self.guide = Guide(now, self.given.versions)
             self._said("leads", term=council.term)
         elif not self.leads and self.leader is not None:
-            self.leader = None
+            self.leader = self.guide = None
             self._said("leads no more")
 
     # --- Time.
@@ -353,6 +434,8 @@
             self.report_at = now + REPORT_US
             if target != self.given.me:
                 self._say(target, self.report(now))
+        if self.versions is not None:
+            self._tick_versions(now, self.versions, target)
         self._retell(now)
 
     def _lead(self, now: int, leader: Leader) -> None:
--- a/whintrail/fleet/state.py
+++ b/whintrail/fleet/state.py
@@ -105,7 +105,51 @@
     birth: U32
 
 
-Any = Lost | Noop | Grant | Free | DrainEngine | Undrain | Drained | Start | Step | Turn
+class Propose(Command, frozen=True, tag=20):
+    """A version of the settings, to be checked by all before it counts."""
+
+    number: U32
+    digest: U64
+    by: Number
+    why: Why
+    at_ms: U64
+
+
+class Enter(Command, frozen=True, tag=21):
+    """All that are reachable can act on it: from now on the stricter of both holds."""
+
+    number: U32
+
+
+class Drop(Command, frozen=True, tag=22):
+    """It does not come into force, by a veto or for want of an answer."""
+
+    number: U32
+    why: Why
+
+
+class Settle(Command, frozen=True, tag=23):
+    """Nobody acts on the version before any more: it holds alone."""
+
+    number: U32
+
+
+Any = (
+    Propose
+    | Enter
+    | Drop
+    | Settle
+    | Lost
+    | Noop
+    | Grant
+    | Free
+    | DrainEngine
+    | Undrain
+    | Drained
+    | Start
+    | Step
+    | Turn
+)
 
 
 class Slot(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
@@ -144,6 +188,57 @@
         return max(1, -(-self.steps[self.step] * fleet // 1000))
 
 
+class Version(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    number: int
+    digest: int
+    by: int
+    why: str
+    at_ms: int
+
+
+MOST_HISTORY = 16
+
+
+class Versions(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """Of the settings: the one in force (number 0: none yet), the next, and those before."""
+
+    current: Version | None = None
+    next: Version | None = None
+    entering: bool = False
+    before: list[Version] = []
+    dropped: str = ""  # the last that was, and why
+
+    @property
+    def number(self) -> int:
+        return self.current.number if self.current is not None else 0
+
+    def apply(self, command: "Propose | Enter | Drop | Settle") -> str:
+        if isinstance(command, Propose):
+            if self.next is not None:
+                return f"version {self.next.number} is on its way"
+            if command.number != self.number + 1:  # of two made on the same one, the first counts
+                return f"version {self.number} is in force"
+            given = command.number, command.digest, command.by, command.why, command.at_ms
+            self.next, self.entering = Version(*given), False
+            return ""
+        if self.next is None or command.number != self.next.number:
+            return "no such version on its way"
+        if isinstance(command, Settle):
+            if not self.entering:
+                return "it has not entered"
+            if self.current is not None:
+                self.before = [*self.before[1 - MOST_HISTORY :], self.current]
+            self.current, self.next, self.entering = self.next, None, False
+            return ""
+        if self.entering:
+            return "it has entered"
+        if isinstance(command, Drop):
+            self.next, self.dropped = None, f"{command.number}: {command.why}"
+        else:
+            self.entering = True
+        return ""
+
+
 class State(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
     fences: int = 0
     releases: int = 0
@@ -151,6 +246,7 @@
     drains: dict[str, Drain] = {}
     release: Release | None = None
     lost: dict[int, int] = {}  # births of processes that a person has given up
+    versions: Versions = msgspec.field(default_factory=Versions)
 
     def apply(self, command: Any) -> str:
         """Take a command; empty, or why it changed nothing."""
@@ -196,6 +292,8 @@
                 found.step, found.usual = step, usual or found.usual
             case Turn():
                 return self._turn(command)
+            case Propose() | Enter() | Drop() | Settle():
+                return self.versions.apply(command)
         return ""
 
     def _grant(self, given: Grant) -> str:
@@ -243,6 +341,7 @@
             dict(sorted(self.drains.items())),
             self.release,
             dict(sorted(self.lost.items())),
+            self.versions,
         )
         return _encoder.encode(ordered)
 
--- a/whintrail/fleet/wire.py
+++ b/whintrail/fleet/wire.py
@@ -141,6 +141,7 @@
     last_term: U32  # of the entry before these
     last: U32
     commit: U32
+    stamp: U32  # the leader's clock, for itself
     entries: Entries
 
 
@@ -149,6 +150,7 @@
     term: U32
     good: bool
     last: U32  # the last that is held as the leader has it; where not good, where to try
+    stamp: U32  # of what it answers
     learns: bool  # it counts for no majority yet
     births: Births
 
@@ -243,6 +245,46 @@
 DONE, REFUSED, LATER = range(3)
 
 
+# --- Versions of the settings.
+
+
+class LeaseAsk(Message, frozen=True, tag=34):
+    """Whether what it acts on still holds, and what it says of the next."""
+
+    stamp: U32  # the asker's clock, for itself
+    number: U32  # by which it acts
+    entering: bool  # by the merge with the next one
+    holds: U64  # digest of the next one, if it holds and has checked it; 0: not yet
+    veto: Annotated[str, Meta(max_length=96)]
+
+
+class LeaseTell(Message, frozen=True, tag=35):
+    """What is in force at the answer; it holds for `lease_ms` from the asking on."""
+
+    stamp: U32
+    number: U32
+    entering: bool
+    lease_ms: U32
+
+
+class BodyPull(Message, frozen=True, tag=36):
+    digest: U64
+    part: Annotated[int, Meta(ge=0, le=0xFFFF)]
+
+
+class BodyPiece(Message, frozen=True, tag=37):
+    digest: U64
+    part: Annotated[int, Meta(ge=0, le=0xFFFF)]
+    parts: Annotated[int, Meta(ge=1, le=0xFFFF)]
+    data: Annotated[bytes, Meta(max_length=176)]
+
+
+class WantVersion(Message, frozen=True, tag=46):
+    number: U32
+    digest: U64
+    why: Why
+
+
 class WantSlot(Message, frozen=True, tag=40):
     birth: U32
     build: Build  # that it runs now
@@ -283,7 +325,7 @@
     why: Why
 
 
-Change = WantSlot | GiveBack | WantDrain | WantUndrain | WantRelease | WantTurn
+Change = WantVersion | WantSlot | GiveBack | WantDrain | WantUndrain | WantRelease | WantTurn
 
 Any_ = (
     Ping
@@ -307,6 +349,10 @@
     | Report
     | Ask
     | Answer
+    | LeaseAsk
+    | LeaseTell
+    | BodyPull
+    | BodyPiece
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -43,6 +43,7 @@
 from whintrail.gateway.owner import Drains, Owner
 from whintrail.gateway.peers import Peers
 from whintrail.interface import EngineState, Settings
+from whintrail.versions.body import Body, check
 
 TURN_S = 0.05
 WORDS = {DONE: "done", REFUSED: "refused", LATER: "later"}
@@ -147,6 +148,9 @@
             found[name] = EngineSeen(engine.zone, out)
         return found
 
+    def check_body(self, body: Body) -> str:
+        return check(body, frozenset(self.owner.deadlines), self.given.count)
+
     def _said(self, what: str, more: dict[str, object]) -> None:
         self.log.line("fleet-" + what.replace(" ", "-"), what, **more)
         row: dict[str, object] = {"at": time.time(), "event": what, **more}
--- a/whintrail/standins/simulated.py
+++ b/whintrail/standins/simulated.py
@@ -14,6 +14,7 @@
 from whintrail.fleet.leader import EngineSeen
 from whintrail.fleet.node import Given, Node
 from whintrail.fleet.state import State
+from whintrail.versions.body import Body, check
 
 TICK_US = 50_000
 Fault = Callable[[int, int, Random], list[float]]
@@ -38,6 +39,7 @@
     bad: Callable[[str], tuple[float, float, float]]
     rate: float
     random: Random
+    peers: int = 0
     node: Node | None = None
     stopped_until: int = 0
     mail: list[tuple[int, bytes]] = field(default_factory=list)  # that came while it stood still
@@ -75,6 +77,9 @@
         self.serving_ms, self.held_by = process.serving_ms, process.held_by
         self.counts, self.engines = process.counts, process.engines_
 
+    def check_body(self, body: Body) -> str:
+        return check(body, frozenset({"lookup", "report"}), self.process.peers)
+
 
 class World:
     def __init__(
@@ -140,6 +145,7 @@
             self.rate,
             Random(self.random.getrandbits(32)),
         )
+        process.peers = self.count
         process.node = Node(
             self.given(number, build),
             process.birth,
--- /dev/null
+++ b/whintrail/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Settings with versions on which the gateways agree. Pure."""
--- /dev/null
+++ b/whintrail/versions/body.py
@@ -0,0 +1,169 @@
+"""What a version holds: the operator's rules that bear on decisions, and their order of strictness.
+
+Each setting has a meet: the stricter of two values. Of two bodies it is taken setting by setting, so it is
+commutative, associative and idempotent, as each of its parts is. A setting without an order (an assignment)
+gets one by a value stricter than all: for who takes the loads of a group of tables, nobody.
+"""
+
+from collections.abc import Iterator, Mapping
+from hashlib import blake2b
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+MOST_BYTES = 65_536  # of a body as it travels
+NOBODY = -1  # a group of tables whose loads no gateway takes
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+Group = Annotated[str, Meta(pattern=r"^[0-9]{1,9}$")]
+Home = Annotated[int, Meta(ge=NOBODY, le=0xFFFF)]
+T = TypeVar("T", int, int)
+
+
+class Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Absent means: anything goes. What only concerns one process (log, sockets, store) is no part of it."""
+
+    shut: tuple[Name, ...] = ()  # engines to which nothing new goes
+    paused: tuple[Name, ...] = ()  # classes of which nothing new is taken
+    caps: dict[Name, Count] = {}  # queries of a class in hand at one gateway, at most
+    wait_ms: dict[Name, Annotated[int, Meta(ge=1, le=86_400_000)]] = {}  # a class's longest time, at most
+    homes: dict[Group, Home] = {}  # the gateway that takes the loads of a group of tables, alone
+    council: tuple[Annotated[int, Meta(ge=0, le=0xFFFF)], ...] = ()  # of the fleet; it has no order
+
+
+class BodyError(ValueError):
+    """The body can't be used, or can't follow on another; the text names the place and the reason."""
+
+
+def read_body(data: Any) -> Body:
+    """From plain values, as a file gives them. Errors: BodyError."""
+    try:
+        body: Body = msgspec.convert(data, Body)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at ")
+        raise BodyError(f"{place.strip('`') or '$'}: {reason}") from error
+    return canonical(body)
+
+
+def canonical(body: Body) -> Body:
+    """Lists without order are sorted and told once; equal rules are equal bodies."""
+    return Body(
+        shut=tuple(sorted(set(body.shut))),
+        paused=tuple(sorted(set(body.paused))),
+        caps=dict(sorted(body.caps.items())),
+        wait_ms=dict(sorted(body.wait_ms.items())),
+        homes=dict(sorted(body.homes.items())),
+        council=tuple(sorted(set(body.council))),
+    )
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
+
+
+def encode(body: Body) -> bytes:
+    """Canonical bytes. Errors: BodyError where they are too many."""
+    data = _encoder.encode(canonical(body))
+    if len(data) > MOST_BYTES:
+        raise BodyError(f"$: {len(data)} bytes, {MOST_BYTES} at most")
+    return data
+
+
+def decode(data: bytes) -> Body:
+    """Errors: BodyError, for bytes that are not canonical too: one body has one digest."""
+    try:
+        body = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise BodyError(f"$: {error}") from error
+    if encode(body) != data:
+        raise BodyError("$: not in canonical form")
+    return body
+
+
+def digest(data: bytes) -> int:
+    """Of canonical bytes; 63 bits, never 0."""
+    return int.from_bytes(blake2b(data, digest_size=8).digest(), "big") >> 1 or 1
+
+
+# --- Strictness.
+
+
+def _least(a: Mapping[str, int], b: Mapping[str, int]) -> dict[str, int]:
+    return {key: min(a.get(key, b.get(key, 0)), b.get(key, a.get(key, 0))) for key in {**a, **b}}
+
+
+def _homes(a: Mapping[str, int], b: Mapping[str, int]) -> dict[str, int]:
+    """Who serves nowhere else is stricter than anybody; two who contradict leave nobody."""
+    found = dict(a)
+    for group, home in b.items():
+        found[group] = home if found.get(group, home) == home else NOBODY
+    return found
+
+
+def meet(a: Body, b: Body) -> Body:
+    """The stricter of both in each setting. Errors: BodyError where a setting has no order."""
+    if a.council != b.council and a.council and b.council:
+        raise BodyError("$.council: it has no order, so no version lies between two of them")
+    return canonical(
+        Body(
+            shut=a.shut + b.shut,
+            paused=a.paused + b.paused,
+            caps=_least(a.caps, b.caps),
+            wait_ms=_least(a.wait_ms, b.wait_ms),
+            homes=_homes(a.homes, b.homes),
+            council=a.council or b.council,
+        )
+    )
+
+
+def stricter(a: Body, b: Body) -> bool:
+    """Whether `a` allows nothing that `b` refuses."""
+    try:
+        return meet(a, b) == canonical(a)
+    except BodyError:
+        return False
+
+
+def between(a: Body, b: Body) -> Body:
+    """What is in force on the way from one version to the next: it allows only what both allow, so who still
+    acts on the one, and who acts on the other, never allows what is refused here without a way to both.
+    Errors: BodyError with the place and the reason, where there is none."""
+    found = meet(a, b)
+    encode(found)  # it has to travel as well
+    return found
+
+
+def differences(a: Body, b: Body) -> Iterator[tuple[str, object, object]]:
+    """Where two bodies differ: path, before, after."""
+    for name in ("shut", "paused"):
+        before, after = set(getattr(a, name)), set(getattr(b, name))
+        for item in sorted(before ^ after):
+            yield f"$.{name}.{item}", item in before, item in after
+    for name in ("caps", "wait_ms", "homes"):
+        one, other = getattr(a, name), getattr(b, name)
+        for key in sorted({**one, **other}):
+            if one.get(key) != other.get(key):
+                yield f"$.{name}.{key}", one.get(key), other.get(key)
+    if a.council != b.council:
+        yield "$.council", list(a.council), list(b.council)
+
+
+def contradiction(a: Body, b: Body) -> list[str]:
+    """Paths at which one allows what the other refuses."""
+    return [path for path, _, _ in differences(a, b)]
+
+
+def check(body: Body, classes: frozenset[str], gateways: int) -> str:
+    """Why a gateway can't act on it; empty where it can."""
+    for name in ("paused", "caps", "wait_ms"):
+        for key in getattr(body, name):
+            if key not in classes:
+                return f"$.{name}.{key}: no such class here"
+    for group, home in body.homes.items():
+        if home >= gateways:
+            return f"$.homes.{group}: gateway {home} is none of {gateways}"
+    if classes and classes <= set(body.paused):
+        return "$.paused: every class"
+    return ""
