Let gateways act on agreed versions: engines shut, classes paused, caps, waits, homes of loads

Change: the owner looks before each decision by which rules it acts; a lease that ran out while the process stood still is seen before anything is decided. whintrail settings propose | status | diff | explain | history | back, over the fleet's socket. Off unless the operator's file has fleet.versions.

Tests, 4 and 5 processes: a change and its way back, two proposals at once and the proposer killed, one stopped for 3 s that wakes to a paused class, a minority through a split with a member that starts from nothing. Not built: lists of engines compared between gateways, a change on a share of the fleet, time from proposal to in force at 200.

--- /dev/null
+++ b/tests/test_versions_processes.py
@@ -0,0 +1,130 @@
+"""Versions of the settings among processes of the program, with faults between them."""
+
+import json
+import os
+import signal
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_fleet import Rig
+from whintrail.cli import main
+from whintrail.standins.peers import fleet, lossy, sound, split
+from whintrail.standins.scripted import Answer, Engine, query, wait_for
+
+
+@contextmanager
+def rig(folder: Path, size: int = 4, engines: int = 2) -> Iterator[Rig]:
+    def operator(number: int, build: str) -> dict[str, Any]:
+        part = {"name": "f", "council": [0, 1, 2], "use_within_s": 1.0, "quarantine_s": 2.0}
+        versions = {"lease_s": 1.0, "check_s": 3.0}
+        return {"fleet": {**part, "versions": versions, "socket": str(folder / f"s{number}")}}
+
+    stands = [Engine(f"s-{n + 1}") for n in range(engines)]
+    with fleet(size, *stands, operator=operator) as given:
+        found = Rig(given, folder)
+        found.wait_leader()
+        yield found
+
+
+def asked(given: Rig, number: int, text: str) -> Answer:
+    client = given.fleet.client(number)
+    try:
+        return client.ask(text)
+    finally:
+        client.close()
+
+
+def in_force(given: Rig, number: int, everywhere: range) -> bool:
+    rows = [given.ask(n, "settings") for n in everywhere]
+    return all(row["acts_by"] == str(number) and row["leased"] for row in rows)
+
+
+def propose(given: Rig, who: int, body: dict[str, Any], word: str = "done") -> None:
+    row = given.ask(who, "propose", body=body, wait_s=5)
+    assert row["word"] == word, row
+
+
+def test_a_version_is_in_force_everywhere_and_back_again_by_command_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with rig(tmp_path) as given:
+        file = tmp_path / "rules.jsonnet"
+        file.write_text("{ rules: { paused: ['report'], shut: ['s-1'], caps: { lookup: 0 + 50 } } }")
+        to = ["--socket", given.socket(3)]
+        assert main(["settings", "propose", str(file), "--why", "jam", *to]) == 0
+        wait_for(lambda: in_force(given, 1, range(4)))
+        for number in range(4):
+            assert asked(given, number, query("report")).sqlstate == "53000"
+            assert asked(given, number, query()).rows
+        assert not given.fleet.engines[0].done
+        assert main(["settings", "back", "0", *to]) == 0
+        wait_for(lambda: in_force(given, 2, range(4)))
+        assert all(asked(given, number, query("report")).rows for number in range(4))
+        capsys.readouterr()
+        assert main(["settings", "diff", "1", "2", *to]) == 0
+        assert "$.paused.report" in capsys.readouterr().out
+        assert main(["settings", "history", *to, "--format", "json"]) == 0
+        rows = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+        assert [row["version"] for row in rows] == [2, 1] and rows[1]["why"] == "jam"
+        assert main(["settings", "status", *to]) == 0
+        assert main(["settings", "explain", "homes"]) == 0
+        file.write_text("{ rules: { paused: ['nothing of the kind'] } }")
+        assert main(["settings", "propose", str(file), *to]) == 1  # refused where it is proposed
+        assert "no such class" in capsys.readouterr().err
+        file.write_text("{ rules: { pause: [] } }")
+        assert main(["settings", "propose", str(file), *to]) == 1
+
+
+def test_two_proposals_at_once_and_the_proposer_killed(tmp_path: Path) -> None:
+    with rig(tmp_path) as given:
+        propose(given, 2, {"caps": {"lookup": 7}})
+        propose(given, 3, {"caps": {"lookup": 8}}, "refused")
+        given.kill(2)
+        given.start(2)
+        # It is in force if all had its body by then, or was dropped: never half.
+        wait_for(lambda: given.ask(0, "settings")["next"] is None)
+        number = given.ask(0, "settings")["in_force"]
+        wait_for(lambda: in_force(given, number, range(4)))
+        propose(given, 3, {"caps": {"lookup": 8}})
+        wait_for(lambda: in_force(given, number + 1, range(4)))
+        assert {given.ask(n, "settings")["rules"]["caps"]["lookup"] for n in range(4)} == {8}
+
+
+def test_one_that_stood_still_across_a_change_refuses_at_once_when_it_wakes(tmp_path: Path) -> None:
+    with rig(tmp_path) as given:
+        client = given.fleet.client(3)
+        assert client.ask(query()).rows
+        process = given.fleet.gateways[3].process
+        propose(given, 0, {"paused": ["once"]})
+        wait_for(lambda: in_force(given, 1, range(4)))
+        propose(given, 0, {"paused": ["once", "report"]})
+        os.kill(process.pid, signal.SIGSTOP)
+        time.sleep(3.0)
+        client.send(query("once"))  # waits in its socket
+        os.kill(process.pid, signal.SIGCONT)
+        assert client.answer().sqlstate == "53000"  # by the merge of what it knew last
+        client.close()
+        wait_for(lambda: in_force(given, 2, range(4)))
+        assert asked(given, 3, query("report")).sqlstate == "53000"
+
+
+def test_a_minority_serves_on_and_a_returning_one_learns(tmp_path: Path) -> None:
+    with rig(tmp_path, size=5) as given:
+        given.fleet.relay.fault = lossy(0.2, most_s=0.02)
+        propose(given, 4, {"caps": {"lookup": 7}})
+        wait_for(lambda: in_force(given, 1, range(5)))
+        given.fleet.relay.fault = split({0, 4}, {1, 2, 3})
+        given.wait_leader(but=0)
+        wait_for(lambda: not given.ask(4, "settings")["leased"])
+        assert asked(given, 4, query()).rows
+        propose(given, 4, {"caps": {"lookup": 1}}, "later")
+        given.kill(2)
+        given.start(2)  # from nothing
+        given.fleet.relay.fault = sound
+        wait_for(lambda: in_force(given, 1, range(5)))
+        assert given.ask(2, "settings")["rules"]["caps"] == {"lookup": 7}
--- a/whintrail/cli/root.py
+++ b/whintrail/cli/root.py
@@ -15,6 +15,7 @@
     "check": "whintrail.cli.check:check",
     "timeline": "whintrail.cli.timeline:timeline",
     "fleet": "whintrail.cli.fleet:fleet",
+    "settings": "whintrail.cli.settings:settings",
 }
 
 
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -75,6 +75,13 @@
     least_queries: Annotated[int, Meta(ge=1, le=1_000_000)] = 50
 
 
+class Versions(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings on which the gateways agree; see docs/versions.md."""
+
+    lease_s: Annotated[float, Meta(ge=0.3, le=60.0)] = 1.2  # a gateway acts on what it was told for so long
+    check_s: Annotated[float, Meta(ge=1.0, le=600.0)] = 10.0  # for all to say whether they can act on it
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     name: Annotated[str, Meta(min_length=1, max_length=64)]
     council: Annotated[tuple[Annotated[int, Meta(ge=0, le=0xFFFF)], ...], Meta(min_length=1, max_length=7)]
@@ -86,6 +93,7 @@
     quarantine_s: Annotated[float, Meta(ge=1.0, le=3600.0)] = 4.0  # before a council that forgot begins anew
     messages_per_s: Annotated[float, Meta(ge=50.0, le=100_000.0)] = 400.0
     bytes_per_s: Annotated[float, Meta(ge=5_000.0, le=1e9)] = 40_000.0
+    versions: Versions | None = None  # absent: no settings but those of the files
     socket: Annotated[str, Meta(min_length=1, max_length=100)] | None = None  # of `whintrail fleet`
 
 
--- a/whintrail/control/lines.py
+++ b/whintrail/control/lines.py
@@ -27,6 +27,7 @@
 
     request_type: type[Any] = dict
     group = "control"  # of its counters
+    most_request = MOST_REQUEST  # bytes
 
     def __init__(self, path: str, counters: Counts) -> None:
         self.counters = counters
@@ -75,8 +76,8 @@
     async def _request(self, sock: socket.socket) -> Any:
         loop, data, chunk = asyncio.get_running_loop(), bytearray(), bytearray(1024)
         while b"\n" not in data:
-            if len(data) > MOST_REQUEST:
-                raise msgspec.ValidationError(f"a request of more than {MOST_REQUEST} bytes")
+            if len(data) > self.most_request:
+                raise msgspec.ValidationError(f"a request of more than {self.most_request} bytes")
             count = await loop.sock_recv_into(sock, chunk)
             if not count:
                 raise ConnectionError("no request")
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -8,45 +8,30 @@
 
 import asyncio
 import os
-import socket
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from random import SystemRandom
-from typing import Any
-
-import msgspec
 
 from whintrail.config import Fleet as FleetSettings
-from whintrail.control import LineServer, encode
 from whintrail.fleet.budget import Allowed
 from whintrail.fleet.council import CouncilPace
 from whintrail.fleet.holder import Outcome
 from whintrail.fleet.leader import NO_ZONE, EngineSeen, Rules
 from whintrail.fleet.node import Given, Node
 from whintrail.fleet.release import Measure
-from whintrail.fleet.state import BACK, HALTED, RUNNING, STATUS
-from whintrail.fleet.wire import (
-    DONE,
-    LATER,
-    REFUSED,
-    Change,
-    GiveBack,
-    WantDrain,
-    WantRelease,
-    WantSlot,
-    WantTurn,
-    WantUndrain,
-)
+from whintrail.fleet.state import STATUS
+from whintrail.fleet.wire import Change
 from whintrail.gateway.counters import Counters
+from whintrail.gateway.fleetcontrol import FleetControl
 from whintrail.gateway.log import Log
 from whintrail.gateway.owner import Drains, Owner
 from whintrail.gateway.peers import Peers
 from whintrail.interface import EngineState, Settings
 from whintrail.versions.body import Body, check
+from whintrail.versions.member import VersionPace
 
 TURN_S = 0.05
-WORDS = {DONE: "done", REFUSED: "refused", LATER: "later"}
 
 
 def monotonic_us() -> int:
@@ -90,6 +75,13 @@
         rules=rules,
         council_pace=CouncilPace(quarantine_us=int(fleet.quarantine_s * 1e6)),
         use_us=int(fleet.use_within_s * 1e6),
+        versions=None
+        if fleet.versions is None
+        else VersionPace(
+            lease_us=int(fleet.versions.lease_s * 1e6),
+            ask_us=int(fleet.versions.lease_s * 1e6 / 3),
+            check_us=int(fleet.versions.check_s * 1e6),
+        ),
         messages_per_s=fleet.messages_per_s,
         bytes_per_s=fleet.bytes_per_s,
     )
@@ -124,6 +116,9 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.control: FleetControl | None = None
         owner.tally_classes()
+        if self.node.versions is not None:
+            acting = self.node.versions.acting
+            owner.rules = lambda: acting.rule(monotonic_us()).body
         peers.fleet = self.datagram
 
     # --- What the node asks of the gateway.
@@ -148,6 +143,10 @@
             found[name] = EngineSeen(engine.zone, out)
         return found
 
+    @staticmethod
+    def now_us() -> int:
+        return monotonic_us()
+
     def check_body(self, body: Body) -> str:
         return check(body, frozenset(self.owner.deadlines), self.given.count)
 
@@ -299,113 +298,3 @@
                 }
             )
         return rows
-
-
-class Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    what: str
-    engine: str = ""
-    member: int = -1
-    why: str = ""
-    build: str = ""
-    steps: tuple[float, ...] = ()
-    limit_s: int = 0
-    undo: bool = False
-    wait_s: float = 5.0
-    wait: bool = False
-    stop: bool = False
-    by_zone: bool = False
-
-
-TURNS = {"halt": HALTED, "resume": RUNNING, "back": BACK}
-
-
-class FleetControl(LineServer):
-    """`whintrail fleet` talks to it."""
-
-    request_type = Request
-    group = "fleet"
-
-    def __init__(self, path: str, part: FleetPart) -> None:
-        super().__init__(path, part.counters)
-        self.part = part
-
-    async def answer(self, sock: socket.socket, request: Request) -> None:
-        match request.what:
-            case "status":
-                await self._rows(sock, [self.part.status()])
-            case "members":
-                await self._rows(sock, self.part.members())
-            case "watch":
-                await self._watch(sock)
-            case _:
-                try:
-                    change = self._change(request)
-                except (msgspec.ValidationError, FleetError) as error:
-                    await self._rows(sock, [{"error": str(error)}])
-                    return
-                await self._wish(sock, request, change)
-
-    async def _rows(self, sock: socket.socket, rows: list[dict[str, Any]]) -> None:
-        await self.write(sock, b"".join(encode(row) + b"\n" for row in rows))
-
-    def _change(self, request: Request) -> Change:
-        """Errors: msgspec.ValidationError for what the wire can't carry, FleetError."""
-        change: Change
-        match request.what:
-            case "may-restart":
-                change = WantSlot(self.part.node.birth, self.part.given.build)
-            case "give-up":
-                change = GiveBack(max(0, request.member), 0, True)
-            case "drain":
-                change = WantDrain(request.engine, request.why, request.limit_s, request.undo)
-            case "undrain":
-                change = WantUndrain(request.engine, request.why)
-            case "release":
-                steps = tuple(round(step * 1000) for step in request.steps)
-                change = WantRelease(request.build, steps, request.why, request.by_zone)
-            case "halt" | "resume" | "back" as turn:
-                change = WantTurn(TURNS[turn], request.why)
-            case other:
-                raise FleetError(f"no such request: {other}")
-        return msgspec.convert(msgspec.to_builtins(change), type(change))
-
-    async def _wish(self, sock: socket.socket, request: Request, change: Change) -> None:
-        loop = asyncio.get_running_loop()
-        wish = loop.create_task(
-            self.part.wish(change, request.wait_s, request.wait or request.what != "may-restart")
-        )
-        gone = loop.create_task(self.gone(sock))
-        try:
-            await asyncio.wait([wish, gone], return_when=asyncio.FIRST_COMPLETED)
-            if not wish.done():
-                return
-            outcome = wish.result()
-        finally:
-            wish.cancel()
-            gone.cancel()
-            await asyncio.gather(wish, gone, return_exceptions=True)
-        row: dict[str, object] = {"word": WORDS[outcome.word], "fence": outcome.fence, "text": outcome.text}
-        held = self.part.node.holder.held
-        if request.what == "may-restart" and outcome.word == DONE and held is not None:
-            row["use_within_ms"] = max(0, (held.until - monotonic_us()) // 1000)
-            if request.stop:
-                self.part.leave()
-                self.part.stop()
-        await self._rows(sock, [row])
-
-    async def _watch(self, sock: socket.socket) -> None:
-        queue: asyncio.Queue[dict[str, object]] = asyncio.Queue(256)
-        loop = asyncio.get_running_loop()
-        gone = loop.create_task(self.gone(sock))
-        self.part.followers.add(queue)
-        try:
-            while not gone.done():
-                getting = loop.create_task(queue.get())
-                await asyncio.wait([getting, gone], return_when=asyncio.FIRST_COMPLETED)
-                if getting.done():
-                    await self._rows(sock, [getting.result()])
-                getting.cancel()
-        finally:
-            self.part.followers.discard(queue)
-            gone.cancel()
-            await asyncio.gather(gone, return_exceptions=True)
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -7,7 +7,7 @@
 import asyncio
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -66,6 +66,21 @@
     def tell(self, target: int | None, payload: bytes) -> None: ...
 
 
+class Ruled(Protocol):
+    """What the operators agreed on that bears on what is taken; see `versions/body.py`."""
+
+    @property
+    def shut(self) -> tuple[str, ...]: ...
+    @property
+    def paused(self) -> tuple[str, ...]: ...
+    @property
+    def caps(self) -> Mapping[str, int]: ...
+    @property
+    def wait_ms(self) -> Mapping[str, int]: ...
+    @property
+    def homes(self) -> Mapping[str, int]: ...
+
+
 class ListOverlay(Protocol):
     """What the fleet has agreed on the engines, laid over the bulletin's list."""
 
@@ -99,6 +114,7 @@
     out: dict[int, "Attempt"] = field(default_factory=dict)
     used: list["Carrier"] = field(default_factory=list)  # links that have carried it: no id runs twice on one
     timer: Timer | None = None  # for the end of its time
+    counted: bool = False  # among those in hand of its class
 
 
 @dataclass(slots=True, eq=False)
@@ -235,6 +251,12 @@
         self.timers = Wheel(self.now)
         self.timeline: TimeLine | None = None
         self.overlay: ListOverlay | None = None  # of the fleet's drains, where there is a fleet
+        self.drained: frozenset[str] = frozenset()
+        self.rules: Callable[[], Ruled] | None = None  # those in force at this moment, where there are any
+        self.rule: Ruled | None = None  # as the module knows them
+        self.in_hand: dict[str, int] = {}  # open queries by class, where there are rules
+        self.me, self.pause_us = settings.me, settings.max_retry_after_us if settings.retry_after else None
+        self.loads = {c.name for c in settings.classes if c.is_load}
         self.tally: dict[str, list[int]] | None = None
         self.aims = {c.name: c.aim_us for c in settings.classes}
         self.peers: Peers | None = None  # none where the deployment bars talk among gateways
@@ -265,6 +287,8 @@
             await self.inbox.wait()
             while queue:
                 at, item = queue.popleft()
+                if self.rules is not None:
+                    self._rule()
                 if len(timers):
                     self._fire(at)
                 if at > self.now:
@@ -356,8 +380,8 @@
                 self.engines.update(item)
                 self._listed(event if self.overlay is None else self.overlay.listed(event))
             case Drains(engines):
-                if self.overlay is not None and (changed := self.overlay.drain(engines)) is not None:
-                    self._listed(changed)
+                self.drained = engines
+                self._lay_over()
             case Told(origin, payload):
                 self._tell(api.PeerTold(origin, payload))
             case Stop():
@@ -369,8 +393,39 @@
             self._keep(self.timeline.listed, self.now, event)
         self._tell(event)
 
+    def _lay_over(self) -> None:
+        if self.overlay is not None:
+            shut = self.drained.union(self.rule.shut) if self.rule is not None else self.drained
+            if (changed := self.overlay.drain(shut)) is not None:
+                self._listed(changed)
+
     # --- For the fleet.
 
+    def _rule(self) -> None:
+        """Before anything is decided: which rules hold now. One who stood still past its lease decides
+        nothing by what held before."""
+        assert self.rules is not None
+        rule = self.rules()
+        if rule is not self.rule:
+            before, self.rule = self.rule, rule
+            if before is None or before.shut != rule.shut:
+                self._lay_over()
+
+    def _barred(self, query: Query) -> str:
+        """By which rule of the operators it is not taken; empty if by none."""
+        rule, statement = self.rule, query.statement
+        assert rule is not None
+        name = statement.class_name
+        if name in rule.paused:
+            return "paused"
+        cap = rule.caps.get(name)
+        if cap is not None and self.in_hand.get(name, 0) >= cap:
+            return "cap"
+        if rule.homes and name in self.loads and statement.tables is not None:
+            if rule.homes.get(str(statement.tables), self.me) != self.me:
+                return "home"
+        return ""
+
     def tally_classes(self) -> None:
         """Count by class from now on, and lay the fleet's drains over the list; before anything is taken."""
         from whintrail.fleet.overlay import Overlay  # only where a fleet is asked for
@@ -414,11 +469,22 @@
         ttl_us = deadline_us = self.deadlines.get(statement.class_name, 0)
         if statement.ttl_ms is not None:
             ttl_us = min(deadline_us, int(statement.ttl_ms * 1000))
+        if self.rule is not None:
+            most_ms = self.rule.wait_ms.get(statement.class_name)
+            ttl_us = ttl_us if most_ms is None else min(ttl_us, most_ms * 1000)
         query.give_up_us = query.taken_us + ttl_us
         if self.ends_us is not None:  # what can't be done by then is for another gateway, and told so at once
             query.give_up_us = min(query.give_up_us, self.ends_us)
         self.queries[query.number] = query
         self.counters.add("queries", "taken")
+        if self.rule is not None:
+            if why := self._barred(query):
+                self.counters.add("rules", why)
+                self._close(query, "refused")
+                query.client.refuse(query, self.pause_us)
+                return
+            self.in_hand[statement.class_name] = self.in_hand.get(statement.class_name, 0) + 1
+            query.counted = True
         query.timer = self.timers.set(query.give_up_us, lambda: self._time_up(query))
         self._tell(
             api.QueryArrived(
@@ -511,6 +577,8 @@
         self.calls.discard(query.statement.call)
         self.past.add(query.statement.call)
         self.counters.add("queries", how)
+        if query.counted:
+            self.in_hand[query.statement.class_name] -= 1
         if self.tally is not None:
             self._tally(query, how)
         self._let_go(query)
