Let gateways compare their lists of engines, and take from newer ones only what is stricter

Need: each follows its own bulletin connection; one that is late sends where the others already refuse. A silent bulletin, a contradicting list and one that goes back are counted and told.

Test: four processes, one with a bulletin of its own that is late, silent, and contradicts.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -26,6 +26,7 @@
     read_body,
     stricter,
 )
+from whintrail.versions.lists import Lists, Sight
 from whintrail.versions.member import Member, VersionPace
 from whintrail.versions.parts import PIECE, Parts
 
@@ -99,6 +100,29 @@
     assert acting.lapses == 1
 
 
+def test_lists_are_compared_by_generation_and_digest_and_hearsay_only_shuts() -> None:
+    mine, theirs = Lists(3_000_000), Lists(3_000_000)
+    for lists in (mine, theirs):
+        lists.listed(0, 1, True, [("a", True, False), ("b", True, False), ("c", True, False)])
+    assert mine.sight(theirs.generation, theirs.digest) is Sight.SAME
+    theirs.listed(1, 2, False, [("a", False, False), ("b", False, True), ("d", True, False)])
+    assert mine.sight(theirs.generation, theirs.digest) is Sight.BEHIND
+    assert theirs.sight(mine.generation, mine.digest) is Sight.AHEAD
+    assert mine.heard(theirs.generation, theirs.stricter())
+    assert mine.shut == {"a", "b"}  # and not: that there is a "d"
+    assert not mine.heard(1, ["c"])  # no newer than ours
+    mine.listed(2, 2, False, [("a", False, False), ("b", False, True)])
+    assert mine.shut == frozenset() and mine.sight(2, theirs.digest) is Sight.CONTRADICTS
+    mine.listed(3, 1, True, [("a", True, False)])  # a bulletin that goes back in time is obeyed, and told
+    assert mine.went_back == 1 and mine.heard(2, ["a"]) and mine.shut == {"a"}
+    assert not mine.old(3_000_000) and mine.old(3_000_010)
+    many = Lists(1)
+    many.listed(0, 1, True, [(str(n), True, False) for n in range(5000)])
+    many.listed(0, 2, True, [])
+    many.heard(3, map(str, range(5000)))
+    assert len(many.left) <= 256 and len(many.hearsay) <= 256
+
+
 # --- In simulated time.
 
 PACE = VersionPace()
@@ -117,9 +141,9 @@
 
 
 def versions_of(world: World, number: int) -> Member:
-    found = world.node(number).versions
+    found = world.node(number).settings
     assert found is not None
-    return found
+    return found.member
 
 
 def propose(world: World, who: int, body: Body, seconds: float = 5.0) -> int:
--- a/tests/test_versions_processes.py
+++ b/tests/test_versions_processes.py
@@ -14,7 +14,7 @@
 from tests.test_fleet import Rig
 from whintrail.cli import main
 from whintrail.standins.peers import fleet, lossy, sound, split
-from whintrail.standins.scripted import Answer, Engine, query, wait_for
+from whintrail.standins.scripted import Answer, Bulletin, Engine, query, wait_for
 
 
 @contextmanager
@@ -128,3 +128,31 @@
         given.fleet.relay.fault = sound
         wait_for(lambda: in_force(given, 1, range(5)))
         assert given.ask(2, "settings")["rules"]["caps"] == {"lookup": 7}
+
+
+def test_a_gateway_whose_bulletin_is_late_takes_from_others_only_what_is_stricter(tmp_path: Path) -> None:
+    with rig(tmp_path) as given:
+        one, two = given.fleet.engines
+        late = given.fleet.own[3] = Bulletin()
+        late.publish(one.entry(), two.entry(), reset=True)
+        given.kill(3)
+        given.start(3)
+        late.mute = True
+        shared = given.fleet.bulletin
+        shared.publish(one.entry("leaving"))  # the second generation
+        wait_for(lambda: given.ask(3, "lists")["shut_by_others"] == ["s-1"])
+        before = len(one.done)
+        client = given.fleet.client(3)
+        assert all(client.ask(query()).rows for _ in range(10))
+        client.close()
+        assert len(one.done) == before
+        wait_for(lambda: given.ask(3, "lists")["old"])
+        assert not given.ask(0, "lists")["old"]
+        late.publish(one.entry("leaving"))
+        late.mute = False
+        wait_for(lambda: given.ask(3, "lists")["shut_by_others"] == [])
+        assert given.ask(3, "lists")["digest"] == given.ask(0, "lists")["digest"]
+        late.publish(one.entry(), reset=True)  # a third of its own: another list under that generation
+        shared.publish(one.entry("left"))
+        wait_for(lambda: given.ask(3, "lists")["contradictions"] > 0)
+        assert main(["lists", "status", "--socket", given.socket(3)]) == 0
--- a/whintrail/cli/root.py
+++ b/whintrail/cli/root.py
@@ -16,6 +16,7 @@
     "timeline": "whintrail.cli.timeline:timeline",
     "fleet": "whintrail.cli.fleet:fleet",
     "settings": "whintrail.cli.settings:settings",
+    "lists": "whintrail.cli.settings:lists",
 }
 
 
--- a/whintrail/cli/settings.py
+++ b/whintrail/cli/settings.py
@@ -83,7 +83,10 @@
 @format_option
 def status(path: str, form: str) -> int:
     """By which version this gateway acts, for how long yet, and T: the longest that two can differ."""
-    row = rows(path, what="settings")[0]
+    return show(rows(path, what="settings")[0], form)
+
+
+def show(row: dict[str, Any], form: str) -> int:
     if form == "json":
         emit([row], [], form)
     else:
@@ -130,3 +133,21 @@
         for place, before, after in differences(one, other):
             click.echo(f"{place}: {before} -> {after}")
     return 0
+
+
+@click.group()
+def lists() -> None:
+    """The list of engines, as this gateway has it and as others do.
+
+    \b
+    Example:
+      whintrail lists status --socket /run/whintrail/fleet.sock
+    """
+
+
+@lists.command("status")
+@socket_option
+@format_option
+def lists_status(path: str, form: str) -> int:
+    """Generation and digest, whether the bulletin is silent, and what others' newer lists shut."""
+    return show(rows(path, what="lists")[0], form)
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -79,6 +79,7 @@
     """Settings on which the gateways agree; see docs/versions.md."""
 
     lease_s: Annotated[float, Meta(ge=0.3, le=60.0)] = 1.2  # a gateway acts on what it was told for so long
+    list_silent_s: Annotated[float, Meta(ge=1.0, le=3600.0)] = 3.0  # of the bulletin: the list is old
     check_s: Annotated[float, Meta(ge=1.0, le=600.0)] = 10.0  # for all to say whether they can act on it
 
 
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -39,8 +39,6 @@
     Append,
     AppendTell,
     Ask,
-    BodyPiece,
-    BodyPull,
     Change,
     Crown,
     Entry,
@@ -69,8 +67,8 @@
     fleet_id,
 )
 from whintrail.versions.body import Body
-from whintrail.versions.guide import Guide
-from whintrail.versions.member import Member, VersionPace
+from whintrail.versions.member import VersionPace
+from whintrail.versions.part import Settings
 
 COUNCIL = (
     RecoverAsk,
@@ -84,8 +82,9 @@
     Crown,
 )
 MEMBERSHIP = (Ping, Ack, PingAsk, Nack, Leaving)
-URGENCY: dict[type, int] = {Told: 2, Answer: 2, Ask: 2, Wanted: 2, LeaseAsk: 1, LeaseTell: 1}
-URGENCY |= {Report: 3, Pull: 4, Piece: 4, BodyPull: 5, BodyPiece: 5}
+URGENCY: dict[type, int] = {Told: 2, Answer: 2, Ask: 2, Wanted: 2, Report: 3, Pull: 4, Piece: 4}
+URGENCY |= {LeaseAsk: 1, LeaseTell: 1}
+LAST = 5  # bodies and lists
 REPORT_US, WANTED_US, RETELL_US = 500_000, 4_000_000, 200_000
 RETELLS = 3
 
@@ -194,10 +193,11 @@
             )
         self.leader: Leader | None = None
         self.holder = Holder(given.me, birth, random, given.use_us)
-        self.versions: Member | None = None
-        self.guide: Guide | None = None
+        self.settings: Settings | None = None
         if given.versions is not None:
-            self.versions = Member(random, local.check_body, given.versions)
+            self.settings = Settings(
+                given.versions, given.me, random, local.check_body, self.members, self._say
+            )
         self.known = (0, 0, -1)  # epoch, term and number of the newest leader heard of
         self.known_at = now
         self.spending = Spending(given.messages_per_s, given.bytes_per_s, at=now)
@@ -234,7 +234,8 @@
 
     def drained(self) -> frozenset[str]:
         """Engines to which nothing new may go."""
-        return frozenset(self.state.drains)
+        drained = frozenset(self.state.drains)
+        return drained if self.settings is None else drained | self.settings.lists.shut
 
     # --- In.
 
@@ -292,57 +293,9 @@
                     self._say(origin, Answer(message.id, 2, 0, "it does not lead"))
             case Answer():
                 self.holder.answered(now, message, self.state)
-            case LeaseAsk() | LeaseTell() | BodyPull() | BodyPiece():
-                if self.versions is not None:
-                    self._version(now, origin, birth, message, self.versions)
-
-    # --- Versions of the settings.
-
-    def _version(
-        self,
-        now: int,
-        origin: int,
-        birth: int,
-        message: LeaseAsk | LeaseTell | BodyPull | BodyPiece,
-        versions: Member,
-    ) -> None:
-        match message:
-            case LeaseAsk():
-                if self.guide is not None and self.council is not None:
-                    sure = self.council.surely_leads(now)
-                    tell = self.guide.asked(now, origin, birth, message, self.state.versions, sure)
-                    if tell is not None and origin == self.given.me:
-                        versions.told(now, tell, self.state.versions)
-                    elif tell is not None:
-                        self._say(origin, tell)
-            case LeaseTell():
-                versions.told(now, message, self.state.versions)
-            case BodyPull():
-                if (piece := versions.pulled(message)) is not None:
-                    self._say(origin, piece)
-            case BodyPiece():
-                versions.piece(now, origin, message)
-
-    def _tick_versions(self, now: int, versions: Member, target: int | None) -> None:
-        agreed = self.state.versions
-        versions.wanted(agreed)
-        if versions.parts.fetching:
-            alive = [m.number for m in self.members.members if m.life is Life.ALIVE]
-            holders = [number for number in alive if number != self.given.me]
-            for of, pull in versions.pulls(now, holders):
-                self._say(of, pull)
-        if target is not None and (ask := versions.ask(now, agreed)) is not None:
-            if target == self.given.me:
-                self._version(now, target, self.birth, ask, versions)
-            else:
-                self._say(target, ask)
-        if self.guide is not None and self.council is not None and not self.council.undecided:
-            members = self.members.members
-            alive = [m.number for m in members if m.life is Life.ALIVE]
-            birth_of = lambda number: members[number].birth  # noqa: E731
-            command = self.guide.tick(now, agreed, alive, self.given.count, birth_of)
-            if command is not None:
-                self.council.propose(now, command)
+            case _:
+                if self.settings is not None:
+                    self.settings.take(now, origin, birth, message)
 
     # --- What changed.
 
@@ -407,11 +360,13 @@
             self.leader.engines = self.local.engines()
             self._led(now, council.epoch, council.term, self.given.me)
             self.wanted_at = now - 1_000_000
-            if self.given.versions is not None:
-                self.guide = Guide(now, self.given.versions)
+            if self.settings is not None:
+                self.settings.lead(now, council)
             self._said("leads", term=council.term)
         elif not self.leads and self.leader is not None:
-            self.leader = self.guide = None
+            self.leader = None
+            if self.settings is not None:
+                self.settings.guide = None
             self._said("leads no more")
 
     # --- Time.
@@ -434,8 +389,8 @@
             self.report_at = now + REPORT_US
             if target != self.given.me:
                 self._say(target, self.report(now))
-        if self.versions is not None:
-            self._tick_versions(now, self.versions, target)
+        if self.settings is not None:
+            self.settings.tick(now, self.state.versions, target)
         self._retell(now)
 
     def _lead(self, now: int, leader: Leader) -> None:
@@ -522,7 +477,7 @@
             self.council.out.clear()
         waiting += [(1, target, message) for target, message in self.members.out]
         self.members.out.clear()
-        waiting += [(URGENCY[type(message)], target, message) for target, message in self.queue]
+        waiting += [(URGENCY.get(type(message), LAST), target, message) for target, message in self.queue]
         self.queue.clear()
         waiting += [(4, target, message) for target, message in self.replica.out]
         self.replica.out.clear()
--- a/whintrail/fleet/wire.py
+++ b/whintrail/fleet/wire.py
@@ -279,6 +279,24 @@
     data: Annotated[bytes, Meta(max_length=176)]
 
 
+class ListNote(Message, frozen=True, tag=50):
+    """Which list of engines its sender has."""
+
+    generation: U64
+    digest: U32
+
+
+class ListPull(Message, frozen=True, tag=51):
+    generation: U64
+
+
+class ListStrict(Message, frozen=True, tag=52):
+    """Engines that leave or left by a newer list."""
+
+    generation: U64
+    names: Annotated[tuple[Name, ...], Meta(max_length=8)]
+
+
 class WantVersion(Message, frozen=True, tag=46):
     number: U32
     digest: U64
@@ -353,6 +371,9 @@
     | LeaseTell
     | BodyPull
     | BodyPiece
+    | ListNote
+    | ListPull
+    | ListStrict
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/whintrail/gateway/bulletin.py
+++ b/whintrail/gateway/bulletin.py
@@ -1,6 +1,7 @@
 """The list of engines: events known at the start, then those of the bulletin, each once and in order."""
 
 import asyncio
+import time
 from collections.abc import Mapping
 from contextlib import suppress
 from typing import Any
@@ -65,7 +66,10 @@
     kind = api.ListKind.FULL if roster.get("reset") else api.ListKind.DELTA
     if first:
         kind = api.ListKind.CACHED
-    return Listed(api.EngineList(kind, tuple(entries)), addresses)
+    generation = roster.get("generation")
+    return Listed(
+        api.EngineList(kind, tuple(entries)), addresses, generation if isinstance(generation, int) else 0
+    )
 
 
 class Bulletin:
@@ -77,6 +81,7 @@
         self.following: asyncio.Task[bool] | None = None
         self.moved = False  # to another address, since the last connect
         self.retry = asyncio.Event()  # no need to wait for the next try
+        self.spoke_us = time.monotonic_ns() // 1000  # when it last said anything that could be read
         self.number = 0  # of the last event that we have
         self.told = False
         known = get(config, "known", {})
@@ -97,6 +102,7 @@
         """False where events are missing and the connection has to be made anew."""
         try:
             data = orjson.loads(line)
+            self.spoke_us = time.monotonic_ns() // 1000
             if isinstance(data, int):
                 return data <= self.number
             if not isinstance(data, dict):
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -25,9 +25,9 @@
 from whintrail.gateway.counters import Counters
 from whintrail.gateway.fleetcontrol import FleetControl
 from whintrail.gateway.log import Log
-from whintrail.gateway.owner import Drains, Owner
+from whintrail.gateway.owner import Drains, Listed, Owner
 from whintrail.gateway.peers import Peers
-from whintrail.interface import EngineState, Settings
+from whintrail.interface import EngineState, ListKind, Settings
 from whintrail.versions.body import Body, check
 from whintrail.versions.member import VersionPace
 
@@ -81,6 +81,7 @@
             lease_us=int(fleet.versions.lease_s * 1e6),
             ask_us=int(fleet.versions.lease_s * 1e6 / 3),
             check_us=int(fleet.versions.check_s * 1e6),
+            list_silent_us=int(fleet.versions.list_silent_s * 1e6),
         ),
         messages_per_s=fleet.messages_per_s,
         bytes_per_s=fleet.bytes_per_s,
@@ -94,6 +95,7 @@
         self,
         settings: FleetSettings,
         given: Given,
+        spoke: Callable[[], int],
         owner: Owner,
         peers: Peers,
         counters: Counters,
@@ -101,6 +103,7 @@
         stop: Callable[[], None],
     ) -> None:
         self.settings, self.given, self.owner, self.peers = settings, given, owner, peers
+        self.spoke = spoke  # when the bulletin last said anything
         self.counters, self.log, self.stop = counters, log, stop
         self.began = monotonic_us()
         chance = SystemRandom()
@@ -116,11 +119,20 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.control: FleetControl | None = None
         owner.tally_classes()
-        if self.node.versions is not None:
-            acting = self.node.versions.acting
+        if self.node.settings is not None:
+            acting, self.lists = self.node.settings.member.acting, self.node.settings.lists
             owner.rules = lambda: acting.rule(monotonic_us()).body
+            owner.on_list = self._listed
         peers.fleet = self.datagram
 
+    def _listed(self, listed: Listed) -> None:
+        states = (
+            (e.engine, e.state is EngineState.READY, e.state is EngineState.GONE)
+            for e in listed.event.entries
+        )
+        whole = listed.event.kind is not ListKind.DELTA
+        self.lists.listed(monotonic_us(), listed.generation, whole, states)
+
     # --- What the node asks of the gateway.
 
     def serving_ms(self, now: int) -> int:
@@ -173,6 +185,8 @@
 
     async def _turns(self) -> None:
         while True:
+            if self.node.settings is not None:
+                self.lists.spoke(self.spoke())
             self._guard(lambda: self.node.tick(monotonic_us()))
             self._after()
             await asyncio.sleep(TURN_S)
--- a/whintrail/gateway/fleetcontrol.py
+++ b/whintrail/gateway/fleetcontrol.py
@@ -23,6 +23,7 @@
 )
 from whintrail.versions.body import Body, BodyError, between, differences, read_body
 from whintrail.versions.member import Member
+from whintrail.versions.part import Settings
 
 if TYPE_CHECKING:
     from whintrail.gateway.fleet import FleetPart
@@ -74,7 +75,7 @@
                 await self._rows(sock, self.part.members())
             case "watch":
                 await self._watch(sock)
-            case "settings" | "history" | "diff":
+            case "settings" | "history" | "diff" | "lists":
                 try:
                     await self._rows(sock, self._told(request))
                 except RequestError as error:
@@ -92,10 +93,13 @@
 
     # --- Versions.
 
-    def _versions(self) -> Member:
-        if self.part.node.versions is None:
+    def _part(self) -> Settings:
+        if self.part.node.settings is None:
             raise RequestError("settings have no versions here: the operator's file has no fleet.versions")
-        return self.part.node.versions
+        return self.part.node.settings
+
+    def _versions(self) -> Member:
+        return self._part().member
 
     def _numbered(self, number: int) -> Body:
         """The body of a version that is known here. Errors: RequestError."""
@@ -135,13 +139,24 @@
             "lapses": versions.acting.lapses,
             "rules": msgspec.to_builtins(rule.body),
         }
-        if self.part.node.guide is not None and agreed.next is not None:
-            alive = [m.number for m in self.part.node.members.members if m.life.name == "ALIVE"]
-            births = [m.birth for m in self.part.node.members.members]
-            left = self.part.node.guide.waiting(now, agreed, alive, births.__getitem__)
+        if left := self._part().waiting(now):
             row["waits_for"] = [f"n{number}" for number in left]
         return row
 
+    def lists_row(self) -> dict[str, object]:
+        lists, now = self._part().lists, self.part.now_us()
+        return {
+            "generation": lists.generation,
+            "digest": f"{lists.digest:08x}",
+            "engines": len(lists.ready),
+            "ready": sum(lists.ready.values()),
+            "heard_ms_ago": (now - lists.heard_at) // 1000,
+            "old": lists.old(now),
+            "shut_by_others": sorted(lists.shut),
+            "contradictions": lists.contradictions,
+            "went_back": lists.went_back,
+        }
+
     def history(self) -> list[dict[str, object]]:
         agreed = self.part.node.state.versions
         rows: list[dict[str, object]] = []
@@ -172,6 +187,8 @@
                 return [self.settings_row()]
             case "history":
                 return self.history()
+            case "lists":
+                return [self.lists_row()]
             case _:
                 return self.difference(request.a, request.b)
 
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -172,6 +172,7 @@
 
     event: api.EngineList
     addresses: dict[str, str]
+    generation: int = 0  # of the whole list, which gateways can compare
 
 
 @dataclass(slots=True)
@@ -252,6 +253,7 @@
         self.timeline: TimeLine | None = None
         self.overlay: ListOverlay | None = None  # of the fleet's drains, where there is a fleet
         self.drained: frozenset[str] = frozenset()
+        self.on_list: Callable[[Listed], None] | None = None
         self.rules: Callable[[], Ruled] | None = None  # those in force at this moment, where there are any
         self.rule: Ruled | None = None  # as the module knows them
         self.in_hand: dict[str, int] = {}  # open queries by class, where there are rules
@@ -378,6 +380,8 @@
                 self._gone(query, "left")
             case Listed(event):
                 self.engines.update(item)
+                if self.on_list is not None:
+                    self.on_list(item)
                 self._listed(event if self.overlay is None else self.overlay.listed(event))
             case Drains(engines):
                 self.drained = engines
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -161,7 +161,7 @@
         except FleetError as error:
             raise StartError(f"fleet: {error}") from error
         common = self.owner, peers, self.counters, self.log
-        return FleetPart(asked, given, *common, self.stopping.set)
+        return FleetPart(asked, given, lambda: self.bulletin.spoke_us, *common, self.stopping.set)
 
     def _reload_operator(self) -> None:
         try:
--- a/whintrail/standins/peers.py
+++ b/whintrail/standins/peers.py
@@ -130,6 +130,7 @@
         self.engines, self.bulletin, self.relay = engines, Bulletin(), Relay(count)
         self.bulletin.publish(*(engine.entry() for engine in engines), reset=True)
         self.folder, self.limits = folder, limits
+        self.own: dict[int, Bulletin] = {}  # of gateways that follow another than the rest, once started anew
         self.ports: list[int] = []
         for _ in range(count):
             with listener() as free:
@@ -141,6 +142,7 @@
     def start(self, number: int, build: str = "") -> Gateway:
         """A gateway from nothing, under its old name and addresses."""
         home, relay = self.relay.homes[number], self.relay
+        bulletin = self.own.get(number, self.bulletin)
         given = settings(MayTell=True, **self.limits)
         config = {
             "name": f"n{number}",
@@ -150,8 +152,8 @@
             "peer_listen": f"{home[0]}:{home[1]}",
             "peers": [relay.where(sock) for sock in relay.fronts],
             "peers_all": relay.where(relay.everyone),
-            "bulletin": self.bulletin.where,
-            "known": {"no": 1, "items": list(self.bulletin.events)},
+            "bulletin": bulletin.where,
+            "known": {"no": len(bulletin.events), "items": list(bulletin.events)},
             "settings": {
                 **given,
                 "FleetSize": len(self.ports),
@@ -186,7 +188,7 @@
         for gateway in self.gateways:
             gateway.end()
         self.relay.close()
-        for server in (self.bulletin, *self.engines):
+        for server in (self.bulletin, *self.own.values(), *self.engines):
             server.close()
 
 
--- a/whintrail/standins/rules.py
+++ b/whintrail/standins/rules.py
@@ -32,8 +32,8 @@
         process = self.world.processes[number]
         if process is None or process.node is None or self.world.now < process.stopped_until:
             return None
-        versions = process.node.versions
-        return versions.acting.rule(process.clock(self.world.now)) if versions is not None else None
+        versions = process.node.settings
+        return versions.member.acting.rule(process.clock(self.world.now)) if versions is not None else None
 
     def _look(self) -> None:
         now = self.world.now
--- a/whintrail/versions/member.py
+++ b/whintrail/versions/member.py
@@ -8,7 +8,7 @@
 from whintrail.fleet.state import Version, Versions
 from whintrail.fleet.wire import BodyPiece, BodyPull, LeaseAsk, LeaseTell
 from whintrail.versions.acting import Acting, Phase
-from whintrail.versions.body import Body, BodyError, between, decode, digest, encode
+from whintrail.versions.body import Body, BodyError, between, decode, encode
 from whintrail.versions.parts import Parts
 
 Check = Callable[[Body], str]
@@ -19,6 +19,7 @@
     lease_us: int = 1_200_000  # of a rule, from the asking on
     ask_us: int = 400_000
     check_us: int = 10_000_000  # for all to say whether they can act on a proposal
+    list_silent_us: int = 3_000_000  # a bulletin that says nothing for so long: the list is old
     slack_us: int = 150_000  # drift of clocks over a lease, and a turn
 
     @property
@@ -130,7 +131,3 @@
         lease = min(self.pace.lease_us, tell.lease_ms * 1000)
         if sent + lease > now:
             self.acting.told(versions.number, phase, sent + lease, known)
-
-
-def version_digest(body: Body) -> int:
-    return digest(encode(body))
