--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -1,9 +1,9 @@
 """Versions of the settings at full size, simulated: python -m benchmarks.versions --gateways 200 --seeds 20
 
-Each seed: two changes one after the other, with so many datagrams lost, and in `faults` members stopped,
-killed and cut off across them. From outside: the longest time for which two gateways with leases acted by different
-rules, and how long a change took to be in force on all that are up. The baseline is today's way: a file and a
-SIGHUP on one gateway after another, 50 ms each.
+Each seed: two changes one after the other, so many datagrams lost, and in `faults` members stopped, killed
+and cut off across them. From outside: the longest time for which two gateways with leases acted by different
+rules, and how long a change took to be in force on all that are up. The baseline is today's way: a file and
+a SIGHUP on one gateway after another, 50 ms each.
 """
 
 import statistics
