Ask a suspected leader too, and end a way back though a gateway was given up

Noticed on reading again: a gateway that suspects the leader asked nobody, so its lease lapsed for one lost probe (Node.leader_of); a release on its way back never ended where one on the new build had died for good (Leader.on_build).

--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -439,6 +439,20 @@
     assert all(p is not None and p.build == "old" for p in world.processes) and not auditor.breaches
 
 
+def test_a_way_back_ends_though_one_on_the_new_build_never_comes_back() -> None:
+    world, _, supervisors = make(count=9, allowed=2, zone=1)
+    assert wish(world, 4, WantRelease("new", (120, 1000), "")) == 0
+    supervisors[5].restart("new")
+    assert world.run(12, lambda: bool(world.processes[5] and world.processes[5].build == "new"))
+    world.run(4)
+    assert wish(world, 4, WantTurn(BACK, "")) == 0
+    world.kill(5)
+    world.run(6)
+    assert status_of(world) == BACK
+    assert wish(world, 4, GiveBack(5, 0, True)) == 0
+    assert world.run(6, lambda: status_of(world) == DONE)
+
+
 def test_a_halt_holds_everywhere_within_two_seconds_and_nothing_goes_on_without_a_majority() -> None:
     world, auditor, supervisors = make(count=9, allowed=2, zone=1)
     assert wish(world, 4, WantRelease("new", (500, 1000), "")) == 0
--- a/whintrail/fleet/leader.py
+++ b/whintrail/fleet/leader.py
@@ -385,8 +385,14 @@
     # --- Time.
 
     def on_build(self, now: int, build: str) -> set[int]:
-        """Members whose newest report told that build; one not heard of since counts still."""
-        return {number for number, seen in self.seen.items() if seen.report.build == build}
+        """Members whose newest report told that build; one not heard of since counts still, unless a person
+        has given it up."""
+        lost = self.replica.state.lost
+        return {
+            number
+            for number, seen in self.seen.items()
+            if seen.report.build == build and lost.get(number) != seen.birth
+        }
 
     @property
     def busy(self) -> bool:
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -228,7 +228,9 @@
         if self.leads:
             return self.given.me
         number = self.known[2]
-        if number < 0 or number == self.given.me or self.members.members[number].life is not Life.ALIVE:
+        if number < 0 or number == self.given.me:
+            return None
+        if self.members.members[number].life not in (Life.ALIVE, Life.SUSPECT):  # suspects may answer yet
             return None
         return number
 
