Let the operator's file hold rules: in force by SIGHUP, or only compared where versions are agreed on

Need: SIGHUP with versions on proposes nothing by itself; a file that differs is told, not applied. Without versions the same rules hold for one process, which is the way that versions are measured against.

Test: processes, a file that can't be used leaves the old rules in force, and a file that differs is told.

--- a/tests/test_versions_processes.py
+++ b/tests/test_versions_processes.py
@@ -156,3 +156,35 @@
         shared.publish(one.entry("left"))
         wait_for(lambda: given.ask(3, "lists")["contradictions"] > 0)
         assert main(["lists", "status", "--socket", given.socket(3)]) == 0
+
+
+def test_rules_of_a_file_hold_by_sighup_where_there_are_no_versions(tmp_path: Path) -> None:
+    """Today's way. A file that can't be used changes nothing; without rules all is as before."""
+    rules: dict[str, Any] = {"paused": ["report"]}
+    with fleet(1, Engine("s-1"), operator=lambda number, build: {"rules": rules}) as given:
+        client, file = given.client(0), given.folder / "n0" / "operator.jsonnet"
+        assert client.ask(query("report")).sqlstate == "53000" and client.ask(query()).rows
+
+        def reload(data: dict[str, Any]) -> None:
+            file.write_text(json.dumps(data))
+            given.gateways[0].signal(signal.SIGHUP)
+
+        reload({"rules": {"paused": ["none such"]}})
+        wait_for(lambda: "no such class here" in given.gateways[0].text())
+        assert client.ask(query("report")).sqlstate == "53000"
+        reload({"rules": {"caps": {"lookup": 0}}})
+        wait_for(lambda: client.ask(query()).sqlstate == "53000")
+        assert client.ask(query("report")).rows
+        reload({})
+        wait_for(lambda: client.ask(query()).rows)
+        client.close()
+
+
+def test_rules_of_a_file_are_only_told_where_versions_are_agreed(tmp_path: Path) -> None:
+    with rig(tmp_path, size=3) as given:
+        file = given.fleet.folder / "n2" / "operator.jsonnet"
+        data = json.loads(file.read_text())
+        file.write_text(json.dumps({**data, "rules": {"paused": ["report"]}}))
+        given.fleet.gateways[2].signal(signal.SIGHUP)
+        wait_for(lambda: "rules of the file differ" in given.fleet.gateways[2].text())
+        assert asked(given, 2, query("report")).rows
--- a/whintrail/config/reading.py
+++ b/whintrail/config/reading.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import Mapping
+from typing import Any
 
 import msgspec
 import rjsonnet
@@ -47,6 +48,8 @@
 
 def _agree(path: str, given: OperatorFile) -> None:
     """What no single value shows: values that contradict one another."""
+    if given.rules is not None:
+        _read_rules(path, given.rules)
     if given.fleet is not None:
         _agree_fleet(path, given.fleet)
     timeline = given.timeline
@@ -68,3 +71,13 @@
             f"{path}: $.fleet.quarantine_s: {fleet.quarantine_s:g} is under twice use_within_s: a council"
             " that forgot could grant a slot while one that it granted before is still used"
         )
+
+
+def _read_rules(path: str, rules: dict[str, Any]) -> None:
+    from whintrail.versions.body import BodyError, read_body  # only where there are any
+
+    try:
+        read_body(rules)
+    except BodyError as error:
+        place, _, reason = str(error).partition(": ")
+        raise OperatorFileError(f"{path}: {place.replace('$', '$.rules', 1)}: {reason}") from error
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -3,7 +3,7 @@
 A misspelt name is an error, never a setting that silently does nothing.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from msgspec import Meta, Struct
 
@@ -104,3 +104,4 @@
     background: Background = Background()
     timeline: Timeline | None = None  # absent: off
     fleet: Fleet | None = None  # absent: off
+    rules: dict[str, Any] | None = None  # see docs/versions.md; with fleet.versions only told, not applied
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from random import SystemRandom
+from typing import Any
 
 from whintrail.config import Fleet as FleetSettings
 from whintrail.fleet.budget import Allowed
@@ -28,7 +29,7 @@
 from whintrail.gateway.owner import Drains, Listed, Owner
 from whintrail.gateway.peers import Peers
 from whintrail.interface import EngineState, ListKind, Settings
-from whintrail.versions.body import Body, check
+from whintrail.versions.body import Body, check, differences, read_body
 from whintrail.versions.member import VersionPace
 
 TURN_S = 0.05
@@ -171,6 +172,13 @@
             else:
                 queue.put_nowait(row)
 
+    def compare(self, rules: dict[str, Any]) -> None:
+        """The file's own rules, where versions are agreed on: told if they differ, and never applied."""
+        assert self.node.settings is not None
+        rule = self.node.settings.member.acting.rule(monotonic_us())
+        if places := [path for path, _, _ in differences(rule.body, read_body(rules))]:
+            self._said("rules of the file differ", {"version": rule.name, "at": ", ".join(places[:8])})
+
     # --- Turns and datagrams.
 
     def start(self) -> None:
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -432,7 +432,9 @@
 
     def tally_classes(self) -> None:
         """Count by class from now on, and lay the fleet's drains over the list; before anything is taken."""
-        from whintrail.fleet.overlay import Overlay  # only where a fleet is asked for
+        if self.overlay is not None:
+            return
+        from whintrail.fleet.overlay import Overlay  # only where a fleet, or rules, are asked for
 
         self.overlay = Overlay()
         self.tally = {name: [0, 0, 0, 0] for name in self.deadlines}
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -95,6 +95,7 @@
         self.keeper = self._open_timeline(settings)
         self.stopping = asyncio.Event()
         self.fleet = self._open_fleet(settings)
+        self._take_rules()
 
     def _open_log(self, name: str) -> Log:
         if self.operator is None:
@@ -163,6 +164,27 @@
         common = self.owner, peers, self.counters, self.log
         return FleetPart(asked, given, lambda: self.bulletin.spoke_us, *common, self.stopping.set)
 
+    def _take_rules(self) -> None:
+        """The file's rules: in force at once where no versions are agreed on, else only compared."""
+        rules = self.operator.rules if self.operator is not None else None
+        if self.fleet is not None and self.fleet.node.settings is not None:
+            if rules is not None:
+                self.fleet.compare(rules)
+            return
+        if rules is None and self.owner.rules is None:
+            return
+        from whintrail.versions.body import Body, check, read_body
+
+        body = read_body(rules or {})
+        if refused := check(body, frozenset(self.owner.deadlines), 0x10000):
+            self.counters.add("configuration", "refused")
+            self.log.line("configuration", f"the rules before stay in force: {refused}")
+            if self.owner.rules is not None:
+                return
+            body = Body()
+        self.owner.tally_classes()
+        self.owner.rules = lambda: body
+
     def _reload_operator(self) -> None:
         try:
             given = read_operator(self.environment)
@@ -177,6 +199,7 @@
                 self.log.change(logging.burst, logging.per_second, logging.format == "json")
                 if self.keeper is not None and given.timeline is not None:
                     self.keeper.apply(given.timeline)
+            self._take_rules()
             self.counters.add("configuration", "taken")
             self.log.line("configuration", "operator's file taken; sizes and places hold from the next start")
 
