--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -232,9 +232,7 @@
         whole = self.whole
         ours = whole.heavy_threads if query.heavy else whole.threads - (0 if long else whole.heavy_threads)
         small = engine.cores * self.share < threads
-        bound = scale * whole.width * whole.cores
-        turn = not query.heavy or self.now >= whole.rest_until  # where that is less than one query each
-        return not small or ours + threads <= bound or (not ours and turn)
+        return not small or ours + threads <= max(threads, scale * whole.width * whole.cores)
 
     def _pressed(self, engine: Engine) -> bool:
         """Latency well above best, a busy report (our sends since added) or a full refusal."""
@@ -390,9 +388,6 @@
         engine.loads[query.group] += query.span_us
         query.out += 1
         self.out[query.id, attempt.number] = query, attempt
-        if query.heavy:  # one after another, as far apart as our part of the fleet asks
-            part = self.share * self.whole.width * self.whole.cores / query.threads
-            self.whole.rest_until = self.now + (int(usual / max(part, 0.1)) if part < 1 else 0)
         for sent, cores in ((engine, engine.cores), (self.whole, 1.0)):
             sent.threads += query.threads
             sent.heavy_threads += query.threads if query.heavy else 0
@@ -600,7 +595,11 @@
     @_on.register
     def _told(self, event: api.PeerTold) -> None:
         """What another gateway's probe brought: as good as our own, though it tells nothing of our links."""
-        for seen in memo.read(event.payload):
+        try:
+            told = memo.decode(event.payload)
+        except memo.MemoError:
+            return
+        for seen in told:
             if engine := self.keys.get(seen.key):
                 at = self.now - seen.age_us
                 engine.probe_at = max(engine.probe_at, at)
@@ -683,10 +682,11 @@
         """The engines longest unheard, at a rate that our queries pay for; more often where a small gateway
         would else know little of a large fleet."""
         s, passed = self.settings, self.now - self.probed_at
-        none = not s.probes_allowed or s.reports_by is api.ReportsBy.NONE
-        if none or (s.peers_allowed and passed < PROBE_US):
+        if s.peers_allowed and passed < PROBE_US:
             return  # engines are many, our part in asking them is small
         self.probed_at = self.now
+        if not s.probes_allowed or s.reports_by is api.ReportsBy.NONE:
+            return
         self._budget_left()  # forgets what was taken too long ago to count
         rate = len(self.taken) / min(self.window, max(SWEEP_US, self.now - self.started))
         rate = min(PROBES_MOST * rate, max(PROBES_PER_QUERY * rate, len(self.ready) / PROBE_WANTED_US))
--- a/whintrail/fleet/memo.py
+++ b/whintrail/fleet/memo.py
@@ -102,11 +102,3 @@
         )
         for key, age, used, held, queue, share in ENTRY.iter_unpack(data[HEAD.size :])
     ]
-
-
-def read(data: bytes) -> list[Sighting]:
-    """As `decode`; none where it is no memo: anybody's rubbish tells nothing."""
-    try:
-        return decode(data)
-    except MemoError:
-        return []
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -51,7 +51,6 @@
     since: Fading = field(default_factory=Fading)  # threads sent of late
     width: float = 1.0  # the bounds against their first values
     stretch: float = 1.0  # latency against the best of the class
-    rest_until: int = 0  # before another heavy query of ours, where our part is less than one
 
 
 @dataclass(slots=True, eq=False)
