Put what the fleet agrees on into the time line

Need: events of every grant, refusal and halt beside what engines went through. Of an engine they stand under its name, else under (fleet). Test: processes, a drain, a refused one and a slot read back through the live view.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,10 +67,18 @@
 
 @contextmanager
 def rig(
-    folder: Path, size: int, engines: int = 2, zones: int = 3, council: int = 3, **out: float
+    folder: Path,
+    size: int,
+    engines: int = 2,
+    zones: int = 3,
+    council: int = 3,
+    timeline: str = "",
+    **out: float,
 ) -> Iterator[Rig]:
     def operator(number: int, build: str) -> dict[str, Any]:
+        line = {"timeline": {"socket": f"{timeline}{number}"}} if timeline else {}
         return {
+            **line,
             "fleet": {
                 "name": "f",
                 "council": list(range(council)),
@@ -80,7 +88,7 @@
                 "quarantine_s": 2.0,
                 "proven_s": 0.5,
                 "socket": str(folder / f"s{number}"),
-            }
+            },
         }
 
     with fleet(
@@ -279,3 +287,20 @@
         ran = Counter(did.id for engine in given.fleet.engines for did in engine.done if did.id in loads)
         assert len(ran) > 100 and set(ran.values()) == {1}  # no load twice
         assert answers["58000"] == 0, answers
+
+
+def test_what_is_agreed_stands_in_the_time_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    with rig(tmp_path, 3, timeline=str(tmp_path / "line")) as given:
+        assert given.ask(1, "drain", engine="s-1", wait_s=5)["word"] == "done"
+        assert given.ask(2, "drain", engine="s-2", wait_s=5)["word"] == "refused"
+        assert given.ask(2, "may-restart", wait_s=5, wait=True)["word"] == "done"
+        leader = given.wait_leader()
+        path = f"{tmp_path / 'line'}{leader}"
+
+        def shown(engine: str) -> str:
+            assert main(["timeline", "show", "--socket", path, engine]) == 0
+            return capsys.readouterr().out
+
+        wait_for(lambda: "AGREED engine drained" in shown("s-1") and "listed as draining" in shown("s-1"))
+        wait_for(lambda: "AGREED slot granted" in shown("(fleet)"))
+        assert "gateway 2" in shown("(fleet)") and "drain refused" in shown("(fleet)")
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -29,6 +29,7 @@
 from whintrail.gateway.owner import Drains, Listed, Owner
 from whintrail.gateway.peers import Peers
 from whintrail.interface import EngineState, ListKind, Settings
+from whintrail.timeline.kinds import FLEET
 from whintrail.versions.body import Body, check, differences, read_body
 from whintrail.versions.member import VersionPace
 
@@ -165,6 +166,11 @@
 
     def _said(self, what: str, more: dict[str, object]) -> None:
         self.log.line("fleet-" + what.replace(" ", "-"), what, **more)
+        figures = [more[name] for name in ("fence", "step", "version", "release") if name in more]
+        figure = figures[0] if figures and isinstance(figures[0], int) else -1
+        member = more.get("member", -1)
+        engine = str(more.get("engine", FLEET))
+        self.owner.agreed(engine, what, figure, member if isinstance(member, int) else -1)
         row: dict[str, object] = {"at": time.time(), "event": what, **more}
         for queue in self.followers:
             if queue.full():
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -58,6 +58,7 @@
     ) -> None: ...
     def noted(self, now: int, engine: str, query: int, topic: api.Topic, value: float) -> None: ...
     def remarked(self, now: int, remarks: list[api.Remark]) -> None: ...
+    def agreed(self, now: int, engine: str, word: str, figure: float, member: float) -> None: ...
 
 
 class Peers(Protocol):
@@ -444,6 +445,11 @@
         counts = self.tally or {}
         return tuple((a & 0xFFFFFFFF, b, c, d) for a, b, c, d in counts.values())
 
+    def agreed(self, engine: str, word: str, figure: float, member: float) -> None:
+        """For the time line: what the fleet decided."""
+        if self.timeline is not None:
+            self._keep(self.timeline.agreed, self.clock.now_us(), engine, word, figure, member)
+
     def held_by(self, engine: str) -> int:
         """Attempts without an outcome on an engine."""
         return sum(attempt.engine == engine for attempt in self.attempts.values())
--- a/whintrail/timeline/core.py
+++ b/whintrail/timeline/core.py
@@ -7,7 +7,9 @@
 from whintrail import interface as api
 from whintrail.timeline.judge import Judge, Thresholds
 from whintrail.timeline.kinds import (
+    AGREED_CODE,
     END,
+    FLEET,
     OUTCOME_CODE,
     REASON_CODE,
     STATE_CODE,
@@ -128,6 +130,15 @@
         """Why the module did, or didn't; the list is the time line's from now on."""
         self._put(self._take_remarked, now, remarks)
 
+    def agreed(self, now: int, engine: str, word: str, figure: float, member: float) -> None:
+        """What the fleet decided, of an engine or of the fleet itself."""
+        self._put(self._take_agreed, now, engine, word, figure, member)
+
+    def _take_agreed(self, now: int, engine: str, word: str, figure: float, member: float) -> None:
+        self._record.at(now)
+        code = AGREED_CODE.get(word, 0xFF)
+        self._record.add(self._record.track(engine), Kind.AGREED, code, figure, member)
+
     def _take_listed(self, now: int, event: api.EngineList) -> None:
         record = self._record
         now = record.at(now)
@@ -135,7 +146,8 @@
             return
         named = {entry.engine for entry in event.entries}
         if event.kind is not api.ListKind.DELTA:
-            for engine in [e for e, track in record.tracks.items() if track.gone_us is None]:
+            known = [e for e, track in record.tracks.items() if track.gone_us is None and e != FLEET]
+            for engine in known:
                 if engine not in named:
                     track = record.tracks[engine]
                     self._listed(
--- a/whintrail/timeline/kinds.py
+++ b/whintrail/timeline/kinds.py
@@ -17,6 +17,9 @@
     DECIDED = 6  # code: reason; a: how often; b: the query's number, -1 for none
     NOTED = 7  # code: topic; a: the query's number; b: value
     JUDGED = 8  # code: verdict, +128 at its end; a: the leading figure of the evidence
+    AGREED = (
+        9  # code: of AGREED; a: fence, step or version, -1 for none; b: the gateway's number, -1 for none
+    )
 
 
 class Verdict(IntEnum):
@@ -36,6 +39,38 @@
 TOPICS = tuple(api.Topic)
 TOPIC_CODE = {topic: code for code, topic in enumerate(TOPICS)}
 END = 128
+# What the fleet decides: of an engine under its name, else under FLEET.
+FLEET = "(fleet)"
+AGREED = (
+    "slot granted",
+    "slot free",
+    "slot refused",
+    "giveback refused",
+    "engine drained",
+    "engine undrained",
+    "engine drain done",
+    "drain refused",
+    "drain past its time, held",
+    "release started",
+    "release step",
+    "release running",
+    "release halted",
+    "release back",
+    "release done",
+    "release refused",
+    "turn refused",
+    "gateway given up",
+    "leads",
+    "leads no more",
+    "leaves",
+    "version proposed",
+    "version enters",
+    "version in force",
+    "version dropped",
+    "version refused",
+    "rules of the file differ",
+)
+AGREED_CODE = {word: code for code, word in enumerate(AGREED)}
 
 # Outcomes that show that the engine works on what it is sent.
 ALIVE = frozenset({api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.MOOT})
@@ -92,6 +127,10 @@
                 return f"{_name(REASONS, code)}{f' x{a:.0f}' if a > 1 else ''}"
             case Kind.NOTED:
                 return f"query {a:.0f} notes {_name(TOPICS, code)} {b:.3g}"
+            case Kind.AGREED:
+                word = AGREED[code] if code < len(AGREED) else f"code {code}"
+                figure, whose = f" {a:.0f}" if a >= 0 else "", f", gateway {b:.0f}" if b >= 0 else ""
+                return f"AGREED {word}{figure}{whose}"
             case Kind.JUDGED:
                 word = Verdict(code & ~END).name.lower().replace("_", " ")
                 return f"{'no longer' if code & END else 'JUDGED'} {word} ({a:.4g})"
