--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -73,12 +73,14 @@
     zones: int = 3,
     council: int = 3,
     timeline: str = "",
+    new: dict[str, Any] | None = None,  # of the file of gateways on the new build
     **out: float,
 ) -> Iterator[Rig]:
     def operator(number: int, build: str) -> dict[str, Any]:
         line = {"timeline": {"socket": f"{timeline}{number}"}} if timeline else {}
         return {
             **line,
+            **((new or {}) if build == "new" else {}),
             "fleet": {
                 "name": "f",
                 "council": list(range(council)),
@@ -304,3 +306,103 @@
         wait_for(lambda: "AGREED engine drained" in shown("s-1") and "listed as draining" in shown("s-1"))
         wait_for(lambda: "AGREED slot granted" in shown("(fleet)"))
         assert "gateway 2" in shown("(fleet)") and "drain refused" in shown("(fleet)")
+
+
+def under_load(given: Rig, number: int, sessions: int, seconds: float) -> None:
+    """So many clients at once on a gateway."""
+    end = time.monotonic() + seconds
+
+    def client() -> None:
+        session = given.fleet.client(number)
+        while time.monotonic() < end:
+            session.ask(query())
+        session.close()
+
+    threads = [threading.Thread(target=client) for _ in range(sessions)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def test_a_canary_that_fails_only_under_load_halts_the_release_and_it_goes_back(tmp_path: Path) -> None:
+    with rig(tmp_path, 4, zones=4, new={"rules": {"caps": {"lookup": 2}}}) as given:
+        for engine in given.fleet.engines:
+            engine.delay = 0.03
+        assert given.ask(1, "release", build="new", steps=(0.25, 1.0), wait_s=5)["word"] == "done"
+        assert given.ask(3, "may-restart", wait_s=20, wait=True, stop=True)["word"] == "done"
+        given.ended(3)
+        given.start(3, "new")
+        wait_for(lambda: not given.status(0)["slots"])
+        threads = [threading.Thread(target=under_load, args=(given, n, 1, 2.0)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert given.status(0)["release"]["status"] == "running"  # alone, a client sees nothing wrong
+        assert given.ask(2, "may-restart", wait_s=2, wait=True)["word"] == "later"  # the step is full
+        threads = [threading.Thread(target=under_load, args=(given, n, 6, 6.0)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: given.status(0)["release"]["status"] == "halted")
+        assert "refused" in given.status(0)["release"]["why"]
+        for thread in threads:
+            thread.join()
+        row = given.ask(2, "may-restart", wait_s=2, wait=True)
+        assert row["word"] == "later" and "halted" in row["text"]
+        assert given.ask(0, "back", wait_s=5)["word"] == "done"
+        assert given.ask(3, "may-restart", wait_s=20, wait=True, stop=True)["word"] == "done"
+        given.ended(3)
+        given.start(3)
+        wait_for(lambda: given.status(0)["release"]["status"] == "done")
+
+
+def test_a_halt_during_a_split_and_a_council_in_three_parts(tmp_path: Path) -> None:
+    with rig(tmp_path, 5) as given:
+        assert given.ask(4, "release", build="new", steps=(1.0,), wait_s=5)["word"] == "done"
+        given.fleet.relay.fault = split({0, 3}, {1, 2, 4})
+        given.wait_leader(but=0)
+        assert given.ask(4, "halt", why="by hand", wait_s=10)["word"] == "done"
+        time.sleep(1.0)
+        assert given.ask(3, "may-restart", wait_s=2, wait=True)["word"] == "later"  # it has not heard of it
+        assert given.ask(4, "may-restart", wait_s=2, wait=True)["word"] == "later"
+        given.fleet.relay.fault = split({0}, {1, 3}, {2, 4})
+        wait_for(lambda: given.leader() is None)
+        assert given.ask(4, "resume", wait_s=2)["word"] == "later"  # nobody may decide
+        given.fleet.relay.fault = sound
+        given.wait_leader()
+        wait_for(lambda: given.status(3)["release"]["status"] == "halted")
+
+
+def test_the_leader_dies_between_granting_and_telling_and_a_zone_is_lost(tmp_path: Path) -> None:
+    with rig(tmp_path, 6, zones=3, gateways=2) as given:
+        leader = given.wait_leader()
+        assert given.ask(4, "release", build="new", steps=(1.0,), wait_s=5)["word"] == "done"
+        holder = next(n for n in (3, 4, 5) if n % 3 != leader % 3)
+        # The leader hears, and what it says reaches the council alone: granted, and not told.
+        given.fleet.relay.fault = lambda a, b, _: [] if a == leader and b not in range(3) else [0.0]
+        rows: list[dict[str, Any]] = []
+        asking = threading.Thread(
+            target=lambda: rows.append(given.ask(holder, "may-restart", wait_s=25, wait=True))
+        )
+        asking.start()
+        wait_for(lambda: f"n{holder}" in given.status(leader)["slots"])
+        given.kill(leader)
+        given.fleet.relay.fault = sound
+        second = given.wait_leader(but=leader)
+        assert f"n{holder}" in given.status(second)["slots"] or rows  # one slot, whoever leads
+        given.start(leader)
+        asking.join(30)
+        assert rows and rows[0]["word"] == "done"
+        # A zone is lost in the middle of it: two are out, and so nobody else may be.
+        wait_for(lambda: not given.status(second)["slots"])
+        lost = [n for n in range(6) if n % 3 == holder % 3 and n != second]
+        for number in lost:
+            given.kill(number)
+        other = next(n for n in range(6) if n not in lost and n != second)
+        time.sleep(3.0)
+        if len(lost) == 2:
+            assert given.ask(other, "may-restart", wait_s=2, wait=True)["word"] == "later"
+        for number in lost:
+            given.start(number, "new")
+        wait_for(lambda: given.ask(other, "may-restart", wait_s=5, wait=True)["word"] == "done")
