Ask again for a list event that could not be read, and count only whole lines as a sign of life

Cause: Bulletin._event put the number forward before the event was read, so one that arrived spoilt was counted as had: a drain that it told of was never asked for again. And _follow began its time of silence anew with every byte, so a watch that drips bytes and never ends a line stood for good (looked at for the crossing "a watch that stands but is silent"; excluded: the number line, which already found gaps). Change: the number goes forward once the event is read, the second time it comes spoilt it is passed over; the time of silence runs from the last whole line.

--- a/whintrail/gateway/bulletin.py
+++ b/whintrail/gateway/bulletin.py
@@ -83,6 +83,7 @@
         self.retry = asyncio.Event()  # no need to wait for the next try
         self.spoke_us = time.monotonic_ns() // 1000  # when it last said anything that could be read
         self.number = 0  # of the last event that we have
+        self.spoilt = 0  # the last event that could not be read
         self.told = False
         known = get(config, "known", {})
         for event in get(known, "items", []):
@@ -93,9 +94,18 @@
         number = event.get("no")
         if not isinstance(number, int) or number <= self.number:
             return  # had already
+        try:
+            listed = read_listed(event, self.log, first=not self.told)
+        except BulletinError:
+            if self.spoilt != number:  # not yet had, so that it is asked for again: it may tell of a drain
+                self.spoilt = number
+                raise
+            self.counters.add("bulletin", "unreadable")
+            self.number = number  # the same again: it is not worth the rest of the list
+            return
         self.number = number
         self.counters.add("bulletin", "events")
-        self.inbox.put(read_listed(event, self.log, first=not self.told))
+        self.inbox.put(listed)
         self.told = True
 
     def take_line(self, line: bytes) -> bool:
@@ -168,13 +178,15 @@
                 await loop.sock_connect(sock, self.where)
             prepare(sock)
             connection.write(b"after %d\n" % self.number)
+            # It speaks in whole lines, each second: bytes that never end a line are silence too.
+            due = loop.time() + limits.bulletin_silent_s
             while True:
-                async with asyncio.timeout(limits.bulletin_silent_s):
+                async with asyncio.timeout_at(due):
                     if not await connection.receive():
                         return came
                 buffer = connection.buffer
                 while (end := buffer.find(b"\n", limits.bulletin_line_bytes)) >= 0:
-                    came = True
+                    came, due = True, loop.time() + limits.bulletin_silent_s
                     if not self.take_line(buffer.take(end + 1)):
                         return False
                 if buffer.full:
