End resting sessions by half-close in one step, and begin nothing for a client that left

Causes, from reading sessions.py and owner.py at each await (docs/crossings.md): - Resting sessions were ended by cancelling their task: bytes that the loop had read and not handed over were lost, and bytes that came in the next moment reset the connection, with it an answer the client had not read. - Between that cancel and the end of the task, _go_on and _sent could still take a pipelined query of a closed session: it was sent on, and its client, seeing the close, asked again. - accept was cancelled at the stop: a connection just given to it was lost. - Asked was carried out though Gone stood behind it on the queue; a close behind a full buffer was never read while a query was open; a cancel request read ahead of its query was dropped; one behind a crowd at a full limit waited in the kernel's queue. Change: Session.part checks what the loop has read, the kernel holds and the buffer keeps, and half-closes in the same step; what comes later is read off, bounded by linger_s. Session.gone asks the connection itself (its end may hide behind unread bytes: tcp_info), before each attempt that is not the first of a fresh query. Query.left is set as the session learns it, ahead of the queue. A few connections beyond the limit come into a doorway, where only cancel requests are taken. A SIGHUP during the start is carried out after it. An id stays known as long as the longest deadline. Tests: tests/test_crossings.py, tests/test_owner.py.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,324 @@
+"""Two events that cross: each test forces the order that the loop could bring about (docs/crossings.md).
+
+What the kernel holds is written while no task has its turn, so that the check and the event meet as forced.
+"""
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from whintrail.gateway.bulletin import Bulletin
+from whintrail.gateway.clock import Clock
+from whintrail.gateway.counters import Counters
+from whintrail.gateway.limits import Limits
+from whintrail.gateway.log import Log
+from whintrail.gateway.owner import Asked, Gone, Inbox, Query
+from whintrail.gateway.sessions import Sessions
+from whintrail.standins.scripted import Client, query
+
+
+class Door:
+    """The sessions alone, behind a real listener; what they ask for is in the inbox."""
+
+    def __init__(self, **limits: Any) -> None:
+        self.limits = replace(Limits.read({"settings": {}}), **limits)
+        self.inbox, self.counters = Inbox(Clock()), Counters()
+        self.sessions = Sessions(self.limits, self.inbox, self.counters, Log("test", 5.0, 1.0))
+        self.sessions.listen(("127.0.0.1", 0))
+        assert self.sessions.listener is not None
+        self.port: int = self.sessions.listener.getsockname()[1]
+        self.opened: list[socket.socket] = []
+        self.accepting = asyncio.create_task(self.sessions.accept())
+        self.watching = asyncio.create_task(self.sessions.watch())
+
+    def connect(self, first: bytes = b"") -> socket.socket:
+        sock = socket.create_connection(("127.0.0.1", self.port), timeout=5)
+        sock.sendall(first)
+        self.opened.append(sock)
+        return sock
+
+    async def started(self) -> tuple[socket.socket, int, int]:
+        """A client that has its greeting, and its key."""
+        sock = self.connect(Client.startup())
+        data = b""
+        while not data.endswith(b"Z\0\0\0\5I"):
+            data += await asyncio.to_thread(sock.recv, 4096)
+        at = data.index(b"K\0\0\0\x0c") + 5
+        return sock, int.from_bytes(data[at : at + 4], "big"), int.from_bytes(data[at + 4 : at + 8], "big")
+
+    def heard(self, kind: type) -> list[Query]:
+        return [item.query for _, item in self.inbox.queue if isinstance(item, kind)]  # type: ignore[union-attr]
+
+    async def until(self, what: Callable[[], Any]) -> None:
+        async with asyncio.timeout(5):
+            while not what():
+                await asyncio.sleep(0.005)
+
+
+def play(story: Callable[[Door], Awaitable[None]], **limits: Any) -> None:
+    async def run() -> None:
+        door = Door(**limits)
+        try:
+            await asyncio.wait_for(story(door), 10)
+        finally:
+            door.accepting.cancel()
+            door.watching.cancel()
+            await asyncio.gather(door.accepting, door.watching, return_exceptions=True)
+            await door.sessions.close()
+            door.sessions.close_listener()
+            for sock in door.opened:
+                sock.close()
+
+    asyncio.run(run())
+
+
+def cancel_request(process: int, secret: int) -> bytes:
+    return (
+        b"\0\0\0\x10" + (80877102).to_bytes(4, "big") + process.to_bytes(4, "big") + secret.to_bytes(4, "big")
+    )
+
+
+# --- Closes and shutdowns.
+
+
+def test_a_request_that_arrived_before_the_end_of_its_session_wins() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query()))
+        time.sleep(0.02)  # in the kernel; no task has had its turn
+        assert not session.part()
+        await door.until(lambda: door.heard(Asked))
+        assert not session.part() and not session.ended
+
+    play(story)
+
+
+def test_bytes_read_by_the_loop_but_not_handed_over_win_too() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        text, loop, parted = Client.simple(query()), asyncio.get_running_loop(), list[bool]()
+
+        def before_the_task() -> None:
+            # The bytes have left the kernel, the reader's task is still to run: what a recv does to the view.
+            into = session.connection._into
+            assert into is not None
+            into[: len(text)] = text
+            parted.append(session.part())
+            into[0] = 0xFF
+
+        loop.call_soon(before_the_task)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert parted == [False] and not session.ended
+        sock.sendall(text)
+        await door.until(lambda: door.heard(Asked))
+
+    play(story)
+
+
+def test_a_request_behind_our_end_is_read_off_and_never_taken() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        assert session.part()
+        sock.sendall(Client.simple(query()))  # crosses the end
+        assert await asyncio.to_thread(sock.recv, 10) == b""  # an end, no reset: what came before is safe
+        await asyncio.sleep(0.05)
+        assert not door.heard(Asked) and process in door.sessions.sessions
+        sock.close()
+        await door.until(lambda: not door.sessions.sessions)
+
+    play(story)
+
+
+def test_an_answer_is_read_whole_though_bytes_cross_the_close() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(";"))
+        await door.until(lambda: door.sessions.quiet.get(session) is not None and session.connection.sent)
+        await asyncio.sleep(0.02)
+        assert session.part()
+        sock.sendall(Client.simple(query()) * 50)
+        await asyncio.sleep(0.05)
+        data = b""
+        while part := await asyncio.to_thread(sock.recv, 4096):
+            data += part
+        assert data == b"I\0\0\0\4Z\0\0\0\5I"
+
+    play(story)
+
+
+def test_a_client_that_never_closes_is_closed_in_the_end() -> None:
+    async def story(door: Door) -> None:
+        await door.started()
+        assert not door.sessions.close_idle()
+        await door.until(door.sessions.close_idle)
+        assert door.counters["sessions", "lingered"] == 1
+
+    play(story, linger_s=0.1, watch_s=0.02)
+
+
+def test_nothing_is_taken_once_a_session_is_left() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query()))
+        await door.until(lambda: door.heard(Asked))
+        session.connection.buffer.space()[: len(ahead)] = ahead  # the next is there already
+        session.connection.buffer.filled(len(ahead))
+        session._leave()
+        session._go_on()  # what was put off to a later turn
+        session._sent()
+        assert len(door.heard(Asked)) == 1 and len(door.heard(Gone)) == 1
+
+    ahead = Client.simple(query())
+    play(story)
+
+
+def test_a_connection_accepted_in_the_turn_of_the_stop_is_served() -> None:
+    async def story(door: Door) -> None:
+        for _ in range(3):
+            door.connect(Client.startup() + Client.simple(";"))
+        door.sessions.accept_last()
+        await asyncio.wait([door.accepting], timeout=1)
+        assert door.accepting.done() and not door.accepting.cancelled()
+        for sock in door.opened:
+            data = b""
+            while b"I\0\0\0\4Z" not in data:
+                data += await asyncio.to_thread(sock.recv, 4096)
+
+    play(story)
+
+
+# --- The client that left.
+
+
+def test_an_end_behind_a_buffer_that_nobody_reads_is_seen() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query()) + b"x" * 100_000)
+        await door.until(lambda: door.heard(Asked) and session.connection.buffer.full)
+        (asked,) = door.heard(Asked)
+        assert not session.gone(asked)
+        sock.shutdown(socket.SHUT_WR)
+        await door.until(lambda: door.heard(Gone))
+        assert asked.left
+
+    play(story, query_bytes=4096, watch_s=0.02)
+
+
+def test_an_end_that_no_task_has_read_is_asked_for_before_an_attempt() -> None:
+    async def story(door: Door) -> None:
+        sock, _, _ = await door.started()
+        sock.sendall(Client.simple(query()))
+        await door.until(lambda: door.heard(Asked))
+        (asked,) = door.heard(Asked)
+        assert not asked.client.gone(asked)
+        sock.close()
+        time.sleep(0.02)
+        assert asked.client.gone(asked) and asked.left
+
+    play(story)
+
+
+def test_a_cancel_request_that_overtakes_its_query_cancels_it() -> None:
+    async def story(door: Door) -> None:
+        sock, process, secret = await door.started()
+        sock.sendall(Client.simple(query()))
+        time.sleep(0.02)  # the query is in the kernel, the cancel request is read first
+        door.sessions.cancel(process, secret)
+        data = await asyncio.to_thread(sock.recv, 4096)
+        assert b"C57014\0" in data and not door.heard(Asked)
+        sock.sendall(Client.simple(query()))  # the next one is another matter
+        await door.until(lambda: door.heard(Asked))
+
+    play(story)
+
+
+def test_a_cancel_request_passes_those_that_wait_for_room() -> None:
+    async def story(door: Door) -> None:
+        busy = [await door.started() for _ in range(8)]
+        for sock, _, _ in busy:
+            sock.sendall(Client.simple(query()))
+        await door.until(lambda: len(door.heard(Asked)) == 8)
+        waiting = [door.connect(Client.startup()) for _ in range(3)]
+        await door.until(lambda: len(door.sessions.waiting) == 3)
+        _, process, secret = busy[0]
+        start = time.monotonic()
+        door.connect(cancel_request(process, secret))
+        await door.until(lambda: door.heard(Gone))
+        assert time.monotonic() - start < 0.1
+        busy[0][0].close()
+        assert await asyncio.to_thread(waiting[0].recv, 1) == b"R"  # there is room now, for the first to come
+
+    play(story, client_connections=8, doorway=4)
+
+
+def test_idle_clients_make_way_for_any_number_that_come() -> None:
+    async def story(door: Door) -> None:
+        idle = [door.connect() for _ in range(40)]
+        await asyncio.sleep(0.2)
+        start = time.monotonic()
+        for _ in range(5):
+            await door.started()
+        assert time.monotonic() - start < 1.0
+        assert len(door.sessions.sessions) <= 12 and idle
+
+    play(story, client_connections=8, doorway=2, quiet_s=0.02, crossing_s=0.05)
+
+
+# --- The bulletin.
+
+
+def bulletin() -> Bulletin:
+    config = {"bulletin": "127.0.0.1:9", "known": {"no": 1, "items": []}}
+    return Bulletin(config, Limits.read({"settings": {}}), Inbox(Clock()), Counters(), Log("test", 5.0, 1.0))
+
+
+def test_an_event_that_cant_be_read_is_asked_for_again_once() -> None:
+    given = bulletin()
+    spoilt, sound = b'{"no":2,"roster":7}', b'{"no":2,"roster":{"instances":[]}}'
+    assert given.take_line(spoilt) and given.number == 1
+    assert not given.take_line(b"2")  # it counts as missing: asked anew
+    assert given.take_line(sound) and given.number == 2 and len(given.inbox.queue) == 1
+    again = bulletin()
+    assert again.take_line(spoilt) and again.take_line(spoilt) and again.number == 2
+
+
+@pytest.mark.parametrize("drip", [b"", b"x"])
+def test_a_watch_without_a_whole_line_is_silent_whatever_drips(drip: bytes) -> None:
+    async def story() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        loop, limits = (
+            asyncio.get_running_loop(),
+            replace(Limits.read({"settings": {}}), bulletin_silent_s=0.2),
+        )
+        config = {"bulletin": f"127.0.0.1:{listener.getsockname()[1]}"}
+        watch = Bulletin(config, limits, Inbox(Clock()), Counters(), Log("test", 5.0, 1.0))
+        task = asyncio.create_task(watch.run())
+        first, _ = await loop.sock_accept(listener)
+        dripping = asyncio.create_task(drip_on(first))
+        async with asyncio.timeout(5):
+            second, _ = await loop.sock_accept(listener)
+        for work in (task, dripping):
+            work.cancel()
+        await asyncio.gather(task, dripping, return_exceptions=True)
+        for sock in (first, second, listener):
+            sock.close()
+
+    async def drip_on(sock: socket.socket) -> None:
+        while True:
+            await asyncio.get_running_loop().sock_sendall(sock, drip)
+            await asyncio.sleep(0.02)
+
+    asyncio.run(story())
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -40,6 +41,7 @@
 class Asker:
     def __init__(self) -> None:
         self.answers: list[str] = []
+        self.closed, self.looked = False, 0  # its end, which nobody has read so far
 
     def serve(self, query: Query, pages: list[Rows]) -> None:
         self.answers.append("served")
@@ -53,6 +55,10 @@
     def reject(self, query: Query, reason: str) -> None:
         self.answers.append("rejected")
 
+    def gone(self, query: Query) -> bool:
+        self.looked += 1
+        return self.closed
+
 
 class World:
     """An owner that knows one engine, and its one client."""
@@ -253,3 +259,39 @@
         assert not [thing for thing in gc.get_objects() if isinstance(thing, Query)]
 
     play(story)
+
+
+def test_nothing_begins_for_a_client_that_left_while_the_owner_was_behind() -> None:
+    async def story(world: World) -> None:
+        query = world.ask()
+        query.left = True  # as the session sets it, ahead of what it puts on the queue
+        world.inbox.put(Gone(query))
+        await settle()
+        assert not world.engines.sent and not world.owner.queries and not world.owner.calls
+
+    play(story)
+
+
+def test_no_further_attempt_begins_once_the_client_has_closed() -> None:
+    async def story(world: World) -> None:
+        two = api.EngineList(api.ListKind.FULL, (engine("e1"), engine("e2")))
+        world.inbox.put(Listed(two, {"e1": "127.0.0.1:9", "e2": "127.0.0.1:9"}))
+        world.ask()
+        await settle()
+        (first,) = world.engines.sent
+        world.client.closed = True  # its end is in the kernel, and no session has read it
+        world.inbox.put(Ended(first, api.Outcome.CONNECT_FAILED))
+        await settle()
+        assert len(world.engines.sent) == 1 and world.client.looked >= 1
+
+    play(story)
+
+
+def test_what_waited_past_its_time_on_the_queue_does_not_begin() -> None:
+    async def story(world: World) -> None:
+        query = world.ask(ttl_ms=400)
+        time.sleep(0.5)  # the owner has no turn: it takes the query at the time it came, when it still could
+        await settle()
+        assert query.sends and not world.engines.sent and len(world.client.answers) == 1
+
+    play(story)
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -10,6 +10,8 @@
 from whintrail.gateway.buffer import Buffer
 
 LAST_DATA = struct.Struct("=52xI")  # in Linux's tcp_info: milliseconds since data last came in
+CLOSE_WAIT = 8  # the first byte of tcp_info: the other side has closed, whatever of it is still unread
+UNTOUCHED = 0xFF  # no message of a client or an engine begins with it
 
 
 def tcp_socket() -> socket.socket:
@@ -41,7 +43,9 @@
         self.sock, self.buffer, self.on_sent = sock, buffer, on_sent
         self.loop = asyncio.get_running_loop()
         self._out = bytearray()
+        self._into: memoryview | None = None  # where the receive under way puts its bytes
         self._writing = self._closed = False
+        self.blocked_since: float | None = None  # the kernel takes no more: the other side does not read
         self._wake: asyncio.Future[None] | None = None  # set while the writer waits
         self._writer: asyncio.Task[None] | None = None
 
@@ -69,8 +73,10 @@
         while True:
             while self._out:
                 data, self._out = self._out, bytearray()
+                self.blocked_since = self.loop.time()  # seen by others only if the call has to wait
                 try:
                     await self.loop.sock_sendall(self.sock, data)
+                    self.blocked_since = None
                 except OSError:
                     self._out.clear()
                     with suppress(OSError):
@@ -85,13 +91,22 @@
 
     async def receive(self) -> bool:
         """Wait for bytes; False once the other side has ended or broken the connection."""
+        self._into = into = self.buffer.space()
+        into[0] = UNTOUCHED
         try:
-            count = await self.loop.sock_recv_into(self.sock, self.buffer.space())
+            count = await self.loop.sock_recv_into(self.sock, into)
         except OSError:
             return False
+        finally:
+            self._into = None
         self.buffer.filled(count)
         return count > 0
 
+    def arrived(self) -> bool:
+        """Whether the loop has read bytes that the reader has not had its turn to see: the kernel holds them
+        no more, the buffer counts them not yet. A close that looks at those two alone loses them."""
+        return self._into is not None and self._into[0] != UNTOUCHED
+
     async def discard(self, waste: bytearray) -> bool:
         """As `receive`, but nobody wants the bytes; `waste` may serve many connections."""
         self.buffer.drop_all()
@@ -124,6 +139,18 @@
         except OSError:
             return True
 
+    def departed(self) -> bool:
+        """Whether the other side has closed, also where bytes that nobody has read hide its end."""
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                return True
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return info[:1] == bytes([CLOSE_WAIT])
+
     def finish(self) -> None:
         """No more is written: the other side sees the end after the last byte."""
         with suppress(OSError):
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -15,6 +15,7 @@
     # Descriptors: clients hold a third at most, and some are just closing; engines another; then a reserve.
     client_connections: int
     engine_connections: int
+    doorway: int  # beyond them: those that wait for room, and as many that were told their end
     accept_backlog: int
     # Sizes in bytes.
     first_buffer: int
@@ -24,7 +25,6 @@
     engine_line_bytes: int
     page_bytes: int
     result_pages: int
-    link_out_bytes: int
     client_out_bytes: int
     waste_bytes: int
     bulletin_line_bytes: int
@@ -35,6 +35,7 @@
     past_calls: int  # ids of queries that are over
     streams: int
     receives_a_turn: int  # of one client, before all others have had theirs
+    accepts_a_turn: int
     messages_a_turn: int
     datagrams_a_turn: int  # of other gateways
     # Times in seconds.
@@ -47,6 +48,7 @@
     watch_s: float  # how often sessions are looked through for those that are late
     client_write_s: float
     linger_s: float
+    crossing_s: float  # what was written before a close was seen is here by then
     poll_s: float
     bulletin_connect_s: float
     bulletin_silent_s: float  # it speaks each second
@@ -58,6 +60,7 @@
     gc_thresholds: tuple[int, int, int]
     # Times in microseconds.
     answer_slack_us: int
+    fresh_us: int  # so shortly after its query nobody asks a client's connection whether it still stands
     timeline_tick_us: int
     call_memory_us: int  # the id of a query that is over is known for so long at least
 
@@ -71,6 +74,7 @@
         return Limits(
             client_connections=clients,
             engine_connections=max(8, sockets * 35 // 100),
+            doorway=max(2, sockets * 4 // 100),
             accept_backlog=min(1024, max(128, sockets)),
             first_buffer=2048,
             link_buffer=65_536,
@@ -79,7 +83,6 @@
             engine_line_bytes=4096,
             page_bytes=MOST_TEXT,
             result_pages=64,
-            link_out_bytes=MEGABYTE,
             client_out_bytes=65_536,
             waste_bytes=65_536,
             bulletin_line_bytes=MEGABYTE,
@@ -89,6 +92,7 @@
             past_calls=10_000,
             streams=max(1, int(get(allowed, "MaxStreams", 32))),
             receives_a_turn=4,
+            accepts_a_turn=32,
             messages_a_turn=32,
             datagrams_a_turn=32,
             connect_s=get(allowed, "ConnectTimeoutUs", 250_000) / 1e6,
@@ -100,6 +104,7 @@
             watch_s=0.1,
             client_write_s=5.0,
             linger_s=1.0,
+            crossing_s=0.1,
             poll_s=0.02,
             bulletin_connect_s=0.5,
             bulletin_silent_s=1.6,
@@ -108,7 +113,9 @@
             accept_after_stop_s=0.75,
             finish_after_stop_s=min(longest, 3.0) + 0.4,
             gc_thresholds=(20_000, 20, 50),
-            call_memory_us=4_000_000,
+            # An engine may be at it until the deadline: so long the same id is no other query's.
+            call_memory_us=max(4_000_000, int(longest * 1e6)),
+            fresh_us=20_000,
             timeline_tick_us=250_000,
             answer_slack_us=int(get(rules, "AnswerSlackUs", 20_000)),
         )
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -29,6 +29,7 @@
     def refuse(self, query: "Query", pause_us: int | None) -> None: ...
     def fail(self, query: "Query", reason: str) -> None: ...
     def reject(self, query: "Query", reason: str) -> None: ...
+    def gone(self, query: "Query") -> bool: ...  # asks the connection itself
 
 
 class Carrier(Protocol):
@@ -109,6 +110,7 @@
     number: int = 0
     give_up_us: int = 0
     over: bool = False
+    left: bool = False  # the client has gone, though the owner may not have come to hear of it
     grant_mb: float = 0.0
     priority: int | None = None  # None: never set
     sends: int = 0
@@ -125,6 +127,7 @@
     engine: str
     sent_us: int
     limit_us: int
+    begin_by_us: int | None = None  # its first byte may go out no later
     alone: bool = False  # it may not be repeated: what breaks others' connection should not break its own
     over: bool = False
     timer: Timer | None = None  # where its time ends before the query's
@@ -469,6 +472,10 @@
 
     def _asked(self, query: Query) -> None:
         statement = query.statement
+        if query.left:  # closed or cancelled while the owner was behind: nothing begins for it any more
+            query.over = True
+            self.counters.add("queries", "left")
+            return
         if self._known(statement.call):
             query.over = True
             self.counters.add("queries", "repeated")
@@ -606,8 +613,8 @@
     def _do(self, actions: list[api.Action]) -> None:
         for action in actions:
             match action:
-                case api.Send(number, engine, timeout_us):
-                    self._send(number, engine, timeout_us)
+                case api.Send(number, engine, timeout_us, begin_by_us):
+                    self._send(number, engine, timeout_us, begin_by_us)
                 case api.SetTerms(number, grant_mb, priority):
                     self._set_terms(number, grant_mb, priority)
                 case api.CancelAttempt(number, attempt_number):
@@ -630,19 +637,22 @@
                 case api.WatchList():
                     pass  # the bulletin comes by itself
 
-    def _send(self, number: int, engine: str, timeout_us: int) -> None:
+    def _send(self, number: int, engine: str, timeout_us: int, begin_by_us: int | None) -> None:
         query = self.queries.get(number)
         if query is None:
             self.log.line("module", f"a send for query {number}, which is over")
             return
         limit = query.give_up_us if timeout_us == 0 else min(query.give_up_us, self.now + timeout_us)
         alone = query.statement.class_name in self.once
-        attempt = Attempt(query, query.sends, engine, self.now, limit, alone)
+        attempt = Attempt(query, query.sends, engine, self.now, limit, begin_by_us, alone)
         query.sends += 1
         query.out[attempt.number] = attempt
         self.attempts[number, attempt.number] = attempt
         spent = self.max_attempts is not None and query.sends > self.max_attempts
-        if spent or self.now >= limit:
+        # The module decides at the time of an event, which may have waited here; the client may have gone
+        # since. What does not hold now does not begin.
+        by = limit if begin_by_us is None else min(limit, begin_by_us)
+        if spent or self.clock.now_us() >= by or self._left(query):
             self.inbox.put(Ended(attempt, api.Outcome.MOOT))
             return
         self.counters.add("attempts", "sent")
@@ -655,6 +665,14 @@
             attempt.timer = self.timers.set(limit, lambda: self._timed_out(attempt))
         self.engines.send(attempt)
 
+    def _left(self, query: Query) -> bool:
+        """Whether the client has gone. One that has only just asked is not looked for: each look costs a
+        system call, and the session would have read its end by the next turn."""
+        if query.left:
+            return True
+        fresh = query.sends == 1 and self.clock.now_us() - query.taken_us < self.limits.fresh_us
+        return not fresh and query.client.gone(query)
+
     def _set_terms(self, number: int, grant_mb: float, priority: int) -> None:
         query = self.queries.get(number)
         if query is None:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -47,6 +47,11 @@
     secret: int
 
 
+def cancel_ahead(data: bytes) -> bool:
+    """Whether the first bytes of a connection are a cancel request."""
+    return len(data) >= _startup.size and _startup.unpack_from(data)[1] == CANCEL_REQUEST
+
+
 def read_startup(buffer: Buffer, most: int) -> Startup | EncryptionRequest | CancelRequest | None:
     """The first message of a connection, which has no type; None while it is not whole."""
     if len(buffer) < _length.size:
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -4,7 +4,7 @@
 import gc
 import os
 import signal
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
@@ -203,12 +203,14 @@
             self.counters.add("configuration", "taken")
             self.log.line("configuration", "operator's file taken; sizes and places hold from the next start")
 
-    async def run(self) -> None:
+    async def run(self, early: Sequence[int] = ()) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if early:
+            self.reload()
         try:
             self.sessions.listen(self.listen)
         except OSError as error:
@@ -257,33 +259,37 @@
             self.fleet.leave()
         self.owner.ends_us = self.inbox.clock.now_us() + int(self.limits.finish_after_stop_s * 1e6)
         await asyncio.sleep(self.limits.accept_after_stop_s)
-        accepting.cancel()
+        self.sessions.accept_last()
+        await asyncio.wait([accepting], timeout=2 * self.limits.poll_s)
+        accepting.cancel()  # for kernels that don't tell it
         with suppress(asyncio.CancelledError):
             await accepting
-        self.sessions.accept_last()
+        self.sessions.close_listener()
         while loop.time() < start + self.limits.finish_after_stop_s:
             await asyncio.sleep(self.limits.poll_s)
             if self.sessions.close_idle() and self.owner.idle:
                 return
         self.inbox.put(Stop())
         await asyncio.sleep(self.limits.poll_s)
-        while not self.sessions.close_idle() and loop.time() < start + self.limits.finish_after_stop_s + 0.1:
+        while not self.sessions.close_idle() and loop.time() < start + self.limits.finish_after_stop_s + 0.15:
             await asyncio.sleep(self.limits.poll_s)
 
 
 def main() -> int:
     import uvloop
 
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is handled: it never ends the program
+    # Until the loop handles them: a SIGHUP never ends the program, and what it told of is read all the same.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(config))
+            runner.run(_serve(config, early))
     except StartError as error:
         say(NAME, str(error))
         return 1
     return 0
 
 
-async def _serve(config: Mapping[str, Any]) -> None:
-    await Service(config, os.environ).run()
+async def _serve(config: Mapping[str, Any], early: list[int]) -> None:
+    await Service(config, os.environ).run(early)
--- a/whintrail/interface.py
+++ b/whintrail/interface.py
@@ -259,6 +259,7 @@
     query: int
     engine: str
     timeout_us: int  # 0: until the client gives up
+    begin_by_us: int | None = None  # its first byte may go out no later; None: as long as it has time
 
 
 @dataclass(slots=True)
