Look once more as an attempt's first byte goes out, and believe no engine that contradicts itself

Causes (links.py): - _run wrote whatever the link carried once its connection had come up, up to ConnectTimeoutUs after the module chose: by then the engine may drain or be gone, the client have left, the time be over. - A do was put behind bytes that the engine did not read (up to 1 MB), and went out with its undo whenever it read on. - overload and nobody were taken as proof that nothing ran even after the same engine had told progress or answered `served`: work that may run only once would then have been sent again. Change: Links.holds, asked in _begin; what does not hold ends as moot. A link whose writer is blocked takes nothing, and is given up after partial_answer_us. After a sign of running those two words are an error.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,6 +8,8 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from whintrail import interface as api
 from whintrail.gateway.clock import Clock
 from whintrail.gateway.counters import Counters
@@ -21,6 +23,15 @@
 from .helpers import engine
 
 
+class Asker:
+    """A client that may have gone."""
+
+    closed = False
+
+    def gone(self, query: Query) -> bool:
+        return self.closed
+
+
 class World:
     """Links to one engine, whose side of each connection is in `accepted`."""
 
@@ -35,13 +46,14 @@
         self.links.update(Listed(api.EngineList(api.ListKind.CACHED, (engine("e1"),)), {"e1": where}))
         self.accepted: list[socket.socket] = []
         self.asked = 0
+        self.client = Asker()
 
     async def send(self, alone: bool = False) -> Attempt:
         self.asked += 1
         text = f"/* op=short,call={self.asked:016x} */ SELECT 1 FROM a_1.b"
-        query: Any = Query(None, read_statement(text.encode()), 0)  # type: ignore[arg-type]
+        query: Any = Query(self.client, read_statement(text.encode()), 0)  # type: ignore[arg-type]
         now = self.inbox.clock.now_us()
-        attempt = Attempt(query, 0, "e1", now, now + 5_000_000, alone)
+        attempt = Attempt(query, 0, "e1", now, now + 5_000_000, alone=alone)
         opened = self.counters["links", "opened"]
         self.links.send(attempt)
         if self.counters["links", "opened"] > opened:
@@ -158,3 +170,93 @@
         assert longest < 0.5
 
     play(story)
+
+
+# --- What held when the module chose, and does not when the first byte could go out.
+
+
+async def late(world: World, change: Callable[[World, Attempt], None], **fields: Any) -> list[api.Outcome]:
+    """An attempt whose connection comes up once `change` has happened."""
+    text = b"/* op=short,call=00000000000000aa */ SELECT 1 FROM a_1.b"
+    query: Any = Query(world.client, read_statement(text), 0)  # type: ignore[arg-type]
+    now = world.inbox.clock.now_us()
+    attempt = Attempt(query, 0, "e1", now, now + 5_000_000, **fields)
+    world.links.send(attempt)  # its task has had no turn: no connection stands
+    change(world, attempt)
+    world.accepted.append(await asyncio.to_thread(lambda: world.sock.accept()[0]))
+    await asyncio.sleep(0.05)
+    world.accepted[0].setblocking(False)
+    try:
+        read = world.accepted[0].recv(4096)
+    except BlockingIOError:
+        read = b""
+    assert bool(read) == (not world.ends())
+    return world.ends()
+
+
+def drains(world: World, attempt: Attempt) -> None:
+    entry = replace(engine("e1"), state=api.EngineState.DRAINING)
+    world.links.update(Listed(api.EngineList(api.ListKind.DELTA, (entry,)), dict(world.links.where)))
+
+
+def goes(world: World, attempt: Attempt) -> None:
+    world.client.closed = True
+
+
+def leaves(world: World, attempt: Attempt) -> None:
+    attempt.query.left = True
+
+
+def expires(world: World, attempt: Attempt) -> None:
+    attempt.limit_us = world.inbox.clock.now_us()
+
+
+def forgets(world: World, attempt: Attempt) -> None:
+    attempt.begin_by_us = world.inbox.clock.now_us()
+
+
+@pytest.mark.parametrize("change", [drains, goes, leaves, expires, forgets])
+def test_an_attempt_whose_connection_comes_up_too_late_never_begins(
+    change: Callable[[World, Attempt], None],
+) -> None:
+    async def story(world: World) -> None:
+        assert await late(world, change) == [api.Outcome.MOOT]
+
+    play(story)
+
+
+def test_an_attempt_whose_connection_comes_up_in_time_begins() -> None:
+    async def story(world: World) -> None:
+        in_time = world.inbox.clock.now_us() + 4_000_000
+        assert await late(world, lambda _, attempt: None, begin_by_us=in_time) == []
+
+    play(story)
+
+
+def test_nothing_is_put_behind_bytes_that_an_engine_does_not_read() -> None:
+    async def story(world: World) -> None:
+        await world.send()
+        (link,) = world.links.links["e1"]
+        assert link.connection is not None
+        link.connection.write(b"x" * (1 << 24))  # more than the kernel takes
+        await asyncio.sleep(0.05)
+        assert link.connection.blocked_since is not None
+        await world.send()
+        assert len(world.accepted) == 2  # another link carries it
+        await asyncio.sleep(0.3)
+        assert world.ends() == [api.Outcome.RESET]  # the first link is given up
+
+    play(story, partial_answer_us=150_000, watch_s=0.02)
+
+
+@pytest.mark.parametrize("sign", [b"served total=2 6\r\na\tb\tc\n", b"update how=done,datum=0.5 0\r\n"])
+@pytest.mark.parametrize("word", [b"overload", b"nobody"])
+def test_an_engine_that_ran_a_query_is_not_believed_that_it_never_did(sign: bytes, word: bytes) -> None:
+    async def story(world: World) -> None:
+        attempt = await world.send()
+        call = attempt.query.statement.call
+        world.accepted[0].sendall(call + b" " + sign + b"\r\n" + call + b" " + word + b" - 0\r\n\r\n")
+        await asyncio.sleep(0.05)
+        assert world.ends() == [api.Outcome.ERROR]
+
+    play(story)
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -33,6 +33,7 @@
     total: int = 0  # pages; 0 until it is served
     pages: dict[int, Rows] = field(default_factory=dict)
     served: lines.Answer | None = None
+    runs: bool = False  # the engine has said so, by a note or an answer
 
 
 @dataclass(slots=True, eq=False)
@@ -69,8 +70,10 @@
             return False
         if self.closing or len(self.carried) >= self.limits.streams or self in attempt.query.used:
             return False
-        stalled = self.connection is not None and self.connection.unsent > self.limits.link_out_bytes
-        return not stalled and attempt.query.statement.call not in self.carried
+        # What is put behind bytes that the engine does not read would go out whenever it reads on: after a
+        # drain was told, or long after its client has gone, with its undo only behind it.
+        blocked = self.connection is not None and self.connection.blocked_since is not None
+        return not blocked and attempt.query.statement.call not in self.carried
 
     # --- Out.
 
@@ -80,6 +83,15 @@
         if self.connection is not None:
             self._write_do(attempt)
 
+    def _begin(self, attempt: Attempt) -> None:
+        """The connection has come up, late perhaps. The first byte goes out only if what the module chose by
+        still holds: the engine may be draining or gone by now, the client too, a window may be over."""
+        if not self.pool.holds(attempt):
+            self.pool.counters.add("attempts", "not_begun")
+            self._end(self.carried[attempt.query.statement.call], Ended(attempt, api.Outcome.MOOT))
+        else:
+            self._write_do(attempt)
+
     def _write_do(self, attempt: Attempt) -> None:
         query = attempt.query
         wait_ms = max(1, (attempt.limit_us - self.pool.inbox.clock.now_us()) // 1000)
@@ -139,12 +151,20 @@
             self.pool.counters.add("links", "stopped_short")
             self.pool.log.line("engine", f"{self.engine} at {self.where}: half an answer; link closed")
             self.close()
+        elif self.blocked(now_us):
+            self.pool.counters.add("links", "blocked")
+            self.close()
         elif not self.closing and self.carried:
             if self.quiet_since(next(iter(self.carried.values())).attempt.sent_us):
                 self.retire()
         elif self.closing and not self.busy:
             self.close()
 
+    def blocked(self, now_us: int) -> bool:
+        """The engine has read nothing for long, though bytes wait for it."""
+        since = self.connection.blocked_since if self.connection is not None else None
+        return since is not None and (self.pool.loop.time() - since) * 1e6 > self.limits.partial_answer_us
+
     def close(self) -> None:
         """The link takes nothing more; what is open on it ends as its connection does."""
         self.closing = True
@@ -168,7 +188,7 @@
             self.connection = Connection(sock, Buffer(self.limits.link_buffer, most))
             lost = api.Outcome.RESET
             for carried in list(self.carried.values()):
-                self._write_do(carried.attempt)
+                self._begin(carried.attempt)
             for tag in self.probes:
                 self._write(lines.probe(tag, self.pool.with_report))
             received = 0
@@ -232,10 +252,14 @@
             case "rows":
                 self._rows(carried, answer)
             case word:
-                self._end(carried, Ended(carried.attempt, ENDS[word], report=self.pool.report(answer)))
+                # An engine that contradicts itself is not believed that nothing ran: work that may run only
+                # once would be sent again, or its client told to.
+                outcome = api.Outcome.ERROR if carried.runs else ENDS[word]
+                self._end(carried, Ended(carried.attempt, outcome, report=self.pool.report(answer)))
 
     def _noted(self, carried: Carried, answer: lines.Answer) -> None:
         topic, value = TOPICS.get(answer.fields.get("how", "")), answer.number("datum")
+        carried.runs |= topic in (api.Topic.PROGRESS, api.Topic.SPILL)
         if topic is not None and value is not None:
             self.pool.inbox.put(Noted(carried.attempt, topic, value))
 
@@ -246,7 +270,7 @@
         total = answer.number("total") if "total" in answer.fields else 1
         if total is None or not 1 <= total <= self.limits.result_pages or total != int(total):
             self._unreadable(carried, f"served with {answer.fields.get('total')} pages")
-        carried.served, carried.total = answer, int(total)
+        carried.served, carried.total, carried.runs = answer, int(total), True
         if self._keep(carried, 0, answer.body) and carried.total > 1:
             for number in range(1, carried.total):
                 self._write(lines.page(answer.id, number))
@@ -322,6 +346,7 @@
         self.read_report, self.tells_cost = read_report, tells_cost
         self.with_report = read_report is not None
         self.where: dict[str, str] = {}  # addresses of the engines on the list
+        self.shut: set[str] = set()  # those of them that are draining
         self.links: dict[str, list[Link]] = {}
         self.probes = 0
         self.loop = asyncio.get_running_loop()
@@ -341,10 +366,13 @@
         """Addresses of listed engines; an engine that has gone gets no new links."""
         if listed.event.kind is not api.ListKind.DELTA:
             self.where.clear()
+            self.shut.clear()
         self.where.update(listed.addresses)
         for entry in listed.event.entries:
+            (self.shut.discard if entry.state is api.EngineState.READY else self.shut.add)(entry.engine)
             if entry.state is api.EngineState.GONE:
                 self.where.pop(entry.engine, None)
+                self.shut.discard(entry.engine)
         for engine, links in self.links.items():
             if engine not in self.where:
                 for link in links:
@@ -360,6 +388,13 @@
         else:
             link.send(attempt)
 
+    def holds(self, attempt: Attempt) -> bool:
+        """Whether an attempt may still begin, at the time of its first byte."""
+        now, query = self.inbox.clock.now_us(), attempt.query
+        late = now >= attempt.limit_us or (attempt.begin_by_us is not None and now >= attempt.begin_by_us)
+        listed = attempt.engine in self.where and attempt.engine not in self.shut
+        return listed and not late and not query.left and not query.client.gone(query)
+
     def _free(self, attempt: Attempt, share: bool) -> Link | None:
         for link in self.links.get(attempt.engine, ()):
             if (share or link.alone is attempt.alone) and link.may_carry(attempt, share):
