Keep a cold engine's budget for the sum of all processes, and a keyed repeat within its window

Cause 1: _cold_room doubled each gateway's part where a report showed room: 0.965 x 0.75 x 2 = 1.45 N for the sum where reports stay low whatever is sent. A gateway just restarted also used that part though it does not know what it sent before. Cause 2: a keyed repeat was chosen up to the last moment of its window and began when its connection came up, up to ConnectTimeoutUs later: engines no longer dropped it. Refusals promised a harmless retry after a pause that ended past the window. Change: Send.begin_by_us, the end of the window less 50 ms; a refusal only where the retry after the pause is still within it, else a failure.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,6 +4,7 @@
 
 from tests.helpers import SECOND, Driver, answers, engine, query_class, sends, settings
 from whintrail import interface as api
+from whintrail.brain import KEYED_SLACK_US
 
 Out = api.Outcome
 UNSURE = [Out.ERROR, Out.TIMEOUT, Out.RESET, Out.CANCELLED, Out.UNKNOWN]
@@ -115,6 +116,29 @@
     assert not sends(late) and answers(late, 1) == [api.Fail]
 
 
+def test_by_key_is_repeated_only_where_the_last_copy_arrives_within_the_window() -> None:
+    given = settings(
+        query_class(effect=api.Effect.BY_KEY, window_us=SECOND, deadline_us=30 * SECOND), retry_after=False
+    )
+    for waited, repeated in ((900_000, True), (960_000, False)):
+        driver = Driver(given, engine("a"), engine("b"))
+        start = driver.now
+        driver.ask(1, give_up_us=driver.now + 30 * SECOND)
+        driver.now += waited
+        given_up = driver.end(1, Out.RESET)
+        assert [a.begin_by_us for a in sends(given_up)] == [start + SECOND - KEYED_SLACK_US] * repeated
+        assert answers(given_up, 1) == ([] if repeated else [api.Fail])
+
+
+def test_a_keyed_refusal_promises_no_more_than_the_window_holds_after_the_pause() -> None:
+    cls = query_class(effect=api.Effect.BY_KEY, window_us=4 * SECOND, deadline_us=30 * SECOND)
+    for waited, told in ((2_900_000, api.Refuse), (2_960_000, api.Fail)):
+        driver = Driver(settings(cls, max_attempts=1, max_retry_after_us=SECOND), engine("a"))
+        driver.ask(1, give_up_us=driver.now + 30 * SECOND)
+        driver.now += waited
+        assert answers(driver.end(1, Out.RESET), 1) == [told]
+
+
 def test_by_key_in_a_group_that_is_down_is_held_then_failed() -> None:
     given = settings(query_class(effect=api.Effect.BY_KEY, group=api.DedupGroup.CELL))
     driver = Driver(given, engine("a"), engine("b", cell=1))
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -46,7 +46,7 @@
 HIGH_PART, HIGH_STEP, HIGH_FIRST = 0.8, 0.1, 5.0  # high: so many take less; how fast it follows; at first
 OWN_SHARE, OWN_FREE, OWN_WINDOW_US = 0.3, 10, 10_000_000  # our own limit: no retry storms
 SHORT_PART, LONG_PART = 0.3, 1.0  # of a cold engine's budget; over one, as not every turn finds a query
-ROOMY = 0.5  # load against what it can do: a cold engine that reports less is asked twice as often
+ROOMY, ROOM = 0.5, 1.3  # load against what it can do: below, a cold engine is asked for so much more
 COLD_MOST = 2.0  # of its class's mean estimate: what costs more a cold engine is spared
 SAFE_PART = 0.75  # of the stated multiple
 SLOT, LONG_SLOT = 0.33, 1.0  # of a window, for short and long ones, where our part is less than one query
@@ -55,6 +55,7 @@
 TOLD_MOST, TOLD_MEMORY, GRANT = 10.0, 20, 1.25  # what answers tell: at most, over so many; memory over that
 MOST_REMARKS = 256  # for one event: a held query may ask every engine
 LAST_CALL_US = 120_000  # the final answer goes out this long before the client gives up
+KEYED_SLACK_US = 50_000  # a repeat's first byte goes out this long before its engines forget what they drop
 
 REACHED = (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL)
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
@@ -300,10 +301,15 @@
         if (most is not None and len(query.attempts) >= most) or (query.out and not settings.second_copies):
             return False
         if exposed and cls.effect is not api.Effect.REPEATABLE:
-            if cls.effect is api.Effect.ONCE or self.now >= exposed.sent_at + cls.window_us:
+            if cls.effect is api.Effect.ONCE or self.now >= self._begin_by(query, exposed):
                 return False
         return self._budget_left()
 
+    def _begin_by(self, query: Query, exposed: Attempt) -> int:
+        """Until when a repeat of a keyed query may begin: from its first byte that may have arrived, engines
+        drop repeats for the window, and the last copy has to be there by then."""
+        return exposed.sent_at + query.cls.settings.window_us - KEYED_SLACK_US
+
     def _budget_left(self) -> bool:
         """Rule 7, and our own limit on further attempts where none is stated."""
         s = self.settings
@@ -340,8 +346,11 @@
         able, cls, known = self._able(engine), query.cls, self.classes.values()
         full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / self.fleet
         work = cls.cost.value * cls.told_usual or full * able  # a few bad plans are not what all are like
-        if engine.load is not None and self.now - engine.report_at <= s.tip_after_us / 2:
-            full *= 2 if engine.load < ROOMY * able else 1  # it will show in time what comes of that
+        # One that seems to have room is asked for more, though never so that all together ask for over N: a
+        # report may be false or old. Nor by one just started, which does not know what it sent before.
+        load = engine.load if self.now - engine.report_at <= s.tip_after_us / 2 else None
+        if load is not None and load < ROOMY * able and self.now - self.started > s.tip_after_us:
+            full *= ROOM
         # Short classes have one part of the budget and long ones the other, each class by its share of work.
         short = 2 * min(c.work_us for c in known)
         kind = [c for c in known if (c.work_us <= short) is (cls.work_us <= short)]
@@ -379,7 +388,10 @@
         if (terms := self._terms(query, engine)) != query.terms:
             query.terms = terms
             self.actions.append(api.SetTerms(query.id, *terms))
-        self.actions.append(api.Send(query.id, engine.address, 0))
+        keyed, exposed = query.cls.settings.effect is api.Effect.BY_KEY, first_exposed(query)
+        # The connection may come up late: past this the attempt does not begin any more.
+        begin_by = self._begin_by(query, exposed) if keyed and exposed else None
+        self.actions.append(api.Send(query.id, engine.address, 0, begin_by))
         usual = max(query.span_us, query.cls.work_us / query.threads) * (query.cls.recent.value or 1.0)
         attempt = Attempt(len(query.attempts), engine, self.now, usual, query.heavy)
         if query.attempts:
@@ -411,9 +423,10 @@
         """Our final answer: a refusal where a retry does no harm for certain, else a failure."""
         cls, exposed = query.cls.settings, first_exposed(query)
         harmless = exposed is None or cls.effect is api.Effect.REPEATABLE
-        if exposed and cls.effect is api.Effect.BY_KEY and cls.group is api.DedupGroup.ALL:
-            harmless = self.now < exposed.sent_at + cls.window_us
         pause = self.settings.max_retry_after_us if self.settings.retry_after else None
+        if exposed and cls.effect is api.Effect.BY_KEY and cls.group is api.DedupGroup.ALL:
+            # The retry that it calls harmless comes after the pause, and must still be within the window.
+            harmless = self.now + (pause or 0) < self._begin_by(query, exposed)
         self.actions.append(api.Refuse(query.id, pause or None) if harmless else api.Fail(query.id))
         self._close(query)
 
