--- a/whintrail/standins/scripted.py
+++ b/whintrail/standins/scripted.py
@@ -383,10 +383,11 @@
     """The program, started as deploy/balancer.toml says."""
 
     under: ClassVar[tuple[str, ...]] = ()  # a command that starts it in its turn
+    run: ClassVar[str] = ""  # another command than the deployed one
 
     def __init__(self, config: dict[str, Any] | None, folder: Path, **environment: str) -> None:
         with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
-            run = tomllib.load(file)["run"]
+            run = self.run or tomllib.load(file)["run"]
         self.log = folder / "log"
         self.path = path = folder / "config.json"
         if config is not None:
