--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -141,7 +141,8 @@
         """Heavy by cost per thread or by memory against the class's mean; then the means learn."""
         cls, heavy = query.cls, False
         if cls.seen >= LEARN_QUERIES and query.span_us > self.mean_span_us:
-            costly = (query.cost_us or 0) > BAR * cls.cost.value
+            # Where clients give no estimates, a query is taken to cost what answers told of its class.
+            costly = (cls.cost.value if query.cost_us is None else query.cost_us) > BAR * cls.cost.value
             heavy = costly or (query.memory_mb or 0) > BAR * cls.memory.value
         cls.seen += 1
         cls.cost.add(query.cost_us, MEAN_MEMORY, cls.settings.deadline_us * query.threads)  # more is a lie,
@@ -505,7 +506,9 @@
         self._stretch(query, engine, took, took)
         if not attempt.share:
             self._heads(query, took)
-        if event.work_ms and query.cost_us:
+        if event.work_ms and query.cost_us is None:
+            cls.cost.add(event.work_ms * 1000, MEAN_MEMORY, cls.settings.deadline_us * query.threads)
+        elif event.work_ms and query.cost_us:
             ratio = min(event.work_ms * 1000 / query.cost_us, TOLD_MOST)
             cls.told_work.add(ratio, TOLD_MEMORY)
             cls.told_usual *= 1 + HIGH_STEP * (0.5 - (ratio < cls.told_usual))
