--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -156,3 +156,17 @@
         return driver.actions
 
     assert run(1) == run(1) != run(2)
+
+
+def test_without_estimates_a_class_is_labelled_by_what_answers_tell_of_it() -> None:
+    classes = query_class("short"), query_class("long", threads=2)
+    driver = Driver(settings(*classes, tells_cost=True), *(engine(f"e{n}") for n in range(4)))
+    for number in range(120):
+        name, work_ms = ("long", 2000.0) if number % 4 == 0 else ("short", 50.0)
+        driver.ask(number, name, cost_us=None, memory_mb=None)
+        driver.now += 20_000
+        driver.end(number, api.Outcome.OK, work_ms=work_ms)
+    driver.ask(200, "long", cost_us=None, memory_mb=None)
+    driver.ask(201, "short", cost_us=None, memory_mb=None)
+    assert driver.gateway.queries[200].heavy and not driver.gateway.queries[201].heavy
+    assert abs(driver.gateway.queries[200].span_us - SECOND) < 1000
