Refuse settings without classes; test other names, other effects and lists lost under floods

Cause: settings without Classes started a gateway that failed every query one by one. Now one line, status 1. Tests over the program: effects by settings and no name, deadlines, seven kinds of settings that lack something, the list found again while idle clients hold every place.

--- /dev/null
+++ b/tests/test_other_customer.py
@@ -0,0 +1,84 @@
+"""The program under another customer's settings: other names and effects, and settings that lack something."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from whintrail.standins.scripted import (
+    PATIENCE_S,
+    Client,
+    Engine,
+    Gateway,
+    deployment,
+    query,
+    settings,
+    wait_for,
+)
+
+CLASSES = [
+    {"Name": "ledger entry", "Effect": "repeatable", "DeadlineUs": 700_000},
+    {"Name": "lookup", "Effect": "once", "DeadlineUs": 900_000},  # elsewhere it may be repeated
+    {"Name": "report", "Effect": "by_key", "Group": "all", "WindowUs": 100_000, "DeadlineUs": 900_000},
+    {"Name": "unsaid", "DeadlineUs": 900_000},
+]
+
+
+@pytest.mark.parametrize(("op", "most"), [("lookup", 1), ("unsaid", 1), ("report", 3)])
+def test_effects_come_from_the_settings_and_from_no_name(op: str, most: int) -> None:
+    engines = [Engine(f"s-{number}", mode="reset") for number in range(3)]
+    with deployment(*engines, classes=CLASSES) as given:
+        assert given.client().ask(query(op, ttl=None)).sqlstate == "58000"
+        assert 1 <= sum(len(engine.done) for engine in engines) <= most
+        assert given.client().ask(query("once")).sqlstate == "58000"  # no class of these settings
+        assert not [done for engine in engines for done in engine.done if done.fields["class"] == "once"]
+
+
+def test_deadlines_come_from_the_settings() -> None:
+    with deployment(Engine(mode="silent"), classes=CLASSES) as given:
+        answer = given.client().ask(query("lookup", ttl=60_000))
+        assert answer.sqlstate == "58000"
+        assert 0 < int(given.engines[0].done[0].fields["wait"]) <= 900
+
+
+@pytest.mark.parametrize(
+    "classes",
+    [[], None, [{"Name": "a"}], [{"DeadlineUs": 5}], [{"Name": "a", "DeadlineUs": "soon"}], ["a"], 7],
+)
+def test_settings_that_lack_something_end_it_with_one_line(tmp_path: Path, classes: Any) -> None:
+    given = settings()
+    given["Classes"] = classes
+    config = {
+        "listen": "127.0.0.1:1",
+        "bulletin": "127.0.0.1:9",
+        "limits": {"memory_mb": 64, "sockets": 256},
+        "settings": given,
+    }
+    gateway = Gateway(json.loads(json.dumps(config)), tmp_path)
+    try:
+        assert gateway.process.wait(PATIENCE_S) == 1
+        assert len(gateway.text().splitlines()) == 1 and "can't be used" in gateway.text()
+    finally:
+        gateway.end()
+
+
+def test_the_list_is_found_again_while_idle_clients_fill_the_descriptors() -> None:
+    with deployment(Engine("s-1"), Engine("s-2"), sockets=64) as given:
+        wait_for(lambda: given.bulletin.asked)
+        given.bulletin.mute = True
+        idle = [Client(given.port, start=False) for _ in range(60)]
+        asked = len(given.bulletin.asked)
+        wait_for(lambda: len(given.bulletin.asked) > asked)  # a new watch, with a descriptor of its own
+        idle += [Client(given.port, start=False) for _ in range(60)]
+        given.bulletin.publish(given.engines[0].entry("leaving"))
+        given.bulletin.mute = False
+
+        def moved() -> bool:
+            before = len(given.engines[0].done)
+            assert all(given.client().ask(query()).rows for _ in range(6))
+            return len(given.engines[0].done) == before
+
+        wait_for(moved)
+        for client in idle:
+            client.close()
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -76,6 +76,8 @@
             self.name = str(get(config, "name", NAME))
             self.log = self._open_log(self.name)
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
+            if not settings.classes:  # it would fail every query, one by one
+                raise ValueError("settings without Classes")
             self.zones = tuple(str(zone) for zone in get(config["settings"], "Zones", []))
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
--- a/whintrail/standins/scripted.py
+++ b/whintrail/standins/scripted.py
@@ -416,12 +416,19 @@
 class Deployment:
     """A gateway with its engines and its bulletin."""
 
-    def __init__(self, folder: Path, engines: list[Engine], sockets: int, **limits: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        engines: list[Engine],
+        sockets: int,
+        classes: list[dict[str, Any]] | None = None,
+        **limits: Any,
+    ) -> None:
         self.engines, self.bulletin = engines, Bulletin()
         self.bulletin.publish(*(engine.entry() for engine in engines), reset=True)
         with listener() as free:
             self.port: int = free.getsockname()[1]
-        self.config = {
+        self.config: dict[str, Any] = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
             "seed": "8c1f30d27a5be964",
@@ -430,6 +437,8 @@
             "known": {"no": 1, "items": list(self.bulletin.events)},
             "settings": settings(**limits),
         }
+        if classes is not None:
+            self.config["settings"]["Classes"] = classes
         self.gateway = Gateway(self.config, folder)
         wait_for(self.ready)
 
