--- a/tests/test_other_customer.py
+++ b/tests/test_other_customer.py
@@ -1,4 +1,4 @@
-"""The program under another customer's settings: other names and effects, and settings that lack something."""
+"""The program under other settings: other names and effects, and settings that lack something."""
 
 import json
 from pathlib import Path
