--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -170,3 +170,13 @@
     driver.ask(201, "short", cost_us=None, memory_mb=None)
     assert driver.gateway.queries[200].heavy and not driver.gateway.queries[201].heavy
     assert abs(driver.gateway.queries[200].span_us - SECOND) < 1000
+
+
+def test_what_answers_tell_counts_on_the_scale_of_the_estimates_that_others_give() -> None:
+    driver = Driver(settings(tells_cost=True), *(engine(f"e{n}") for n in range(4)))
+    for number in range(400):  # estimates of a third of the work, and every other query without one
+        driver.ask(number, cost_us=None if number % 2 else 100_000.0)
+        driver.now += 20_000
+        driver.end(number, api.Outcome.OK, work_ms=300.0)
+    driver.ask(1000, cost_us=None)
+    assert 290_000 < driver.gateway.queries[1000].span_us < 330_000  # not three times as much again
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -507,7 +507,8 @@
         if not attempt.share:
             self._heads(query, took)
         if event.work_ms and query.cost_us is None:
-            cls.cost.add(event.work_ms * 1000, MEAN_MEMORY, cls.settings.deadline_us * query.threads)
+            cost = event.work_ms * 1000 / (cls.told_work.value or 1.0)  # as others of its class estimate
+            cls.cost.add(cost, MEAN_MEMORY, cls.settings.deadline_us * query.threads)
         elif event.work_ms and query.cost_us:
             ratio = min(event.work_ms * 1000 / query.cost_us, TOLD_MOST)
             cls.told_work.add(ratio, TOLD_MEMORY)
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -131,16 +131,7 @@
             return False
 
     def ended(self) -> bool:
-        """Whether the other side has ended the connection, though nobody has read so far."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    def departed(self) -> bool:
-        """Whether the other side has closed, also where bytes that nobody has read hide its end."""
+        """Whether the other side has ended the connection, also where bytes that nobody has read hide it."""
         try:
             if not self.sock.recv(1, socket.MSG_PEEK):
                 return True
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -99,7 +99,7 @@
 
     def gone(self, query: Query) -> bool:
         """Whether its client has closed or cancelled, whatever of that has been read so far."""
-        if self.query is query and self.connection.departed():
+        if self.query is query and self.connection.ended():
             self.counters.add("sessions", "departed")
             self._leave()
             self.free.set()  # the reader goes on to the end
@@ -113,7 +113,7 @@
             return (
                 "lingered" if since > (self.limits.linger_s if sent else self.limits.client_write_s) else None
             )
-        if self.query is not None and self.connection.buffer.full and self.connection.departed():
+        if self.query is not None and self.connection.buffer.full and self.connection.ended():
             return "departed"  # nobody reads there until the query is over: the end would not be seen
         if self.answering:
             return "stalled" if now - self.answered_at > self.limits.client_write_s else None
@@ -333,7 +333,7 @@
                     task.cancel()
 
     @property
-    def _most(self) -> bool:
+    def _full(self) -> bool:
         """Whether no further connection can be taken in, not even into the doorway."""
         held, door = len(self.sessions), self.limits.doorway
         live = held - len(self.ending)
@@ -347,7 +347,7 @@
         must not queue behind those that wait for room. Never cancelled while it may have accepted one."""
         assert self.listener is not None
         while not self.closing:
-            if self._most:
+            if self._full:
                 self.room.clear()
                 self._clear()
                 with suppress(TimeoutError):
@@ -370,7 +370,7 @@
         """What else waits: one a turn of the loop would keep the last of a crowd for as many turns."""
         assert self.listener is not None
         for _ in range(most):
-            if self._most:
+            if self._full:
                 return
             try:
                 sock, _ = self.listener.accept()
@@ -415,9 +415,9 @@
     def _relieve(self) -> None:
         """Make room for those that wait, now and again until none does."""
         self.relieving = False
-        while self.waiting and self._make_room():
-            self._admit()
-        if self.waiting and not self.relieving:
+        while self.waiting and self._make_room():  # whose end lets in the next
+            pass
+        if self.waiting:
             self.relieving = True
             self.loop.call_later(self.limits.poll_s, self._relieve)
 
