--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # One command to run, one to test.
 .PHONY: run test bench
 
-.venv/.ready: requirements.txt requirements-operator.txt requirements-dev.txt
+.venv/.ready: requirements.txt requirements-operator.txt requirements-plot.txt requirements-scale.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
 	touch .venv/.ready
--- a/whintrail/cli/root.py
+++ b/whintrail/cli/root.py
@@ -17,25 +17,27 @@
     "fleet": "whintrail.cli.fleet:fleet",
     "settings": "whintrail.cli.settings:settings",
     "lists": "whintrail.cli.settings:lists",
+    "scale": "whintrail.cli.scale:scale",
 }
 
 
 class Lazy(click.Group):
     """Sub-commands by name; the module of one is imported only when it is used or helped with."""
 
+    places = COMMANDS
+    needs = "requirements-operator.txt"
+
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return list(COMMANDS)
+        return list(self.places)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if (where := COMMANDS.get(cmd_name)) is None:
+        if (where := self.places.get(cmd_name)) is None:
             return None
         module, _, name = where.partition(":")
         try:
             command = getattr(importlib.import_module(module), name)
         except ModuleNotFoundError as error:
-            raise click.ClickException(
-                f"{cmd_name} needs {error.name}: install requirements-operator.txt"
-            ) from error
+            raise click.ClickException(f"{cmd_name} needs {error.name}: install {self.needs}") from error
         assert isinstance(command, click.Command)
         return command
 
--- /dev/null
+++ b/whintrail/cli/scale.py
@@ -0,0 +1,32 @@
+"""`whintrail scale`: what a size costs, measured, fitted and held against budgets (`docs/CAPACITY.md`)."""
+
+import click
+
+from whintrail.cli.root import Lazy
+
+
+class LazyScale(Lazy):
+    places = {  # noqa: RUF012
+        "slopes": "whintrail.scale.slopes:slopes",
+        "simulate": "whintrail.scale.simulate:simulate",
+        "ways": "whintrail.scale.ways:ways",
+        "run": "whintrail.scale.run:run",
+        "sweep": "whintrail.scale.run:sweep",
+        "fit": "whintrail.scale.fitting:fit",
+        "report": "whintrail.scale.page:report",
+        "check": "whintrail.scale.page:check",
+    }
+    needs = "requirements-scale.txt"
+
+
+@click.group(cls=LazyScale)
+def scale() -> None:
+    """What a size costs: measured at several sizes, fitted, and held against budgets.
+
+    \b
+    Examples:
+      whintrail scale slopes --to docs/capacity/slopes.json     cores alone, at several sizes
+      whintrail scale run deploy/scale/small.jsonnet            real and hollow gateways, one size
+      whintrail scale report                                    the tables of docs/CAPACITY.md
+      whintrail scale check                                     exit status 1 where a budget is passed
+    """
