Simulate ways of giving each gateway a part of the engines

At 4,000 gateways before 15,000 engines all that grows with the engines passes its budget; before a way of keeping only some is chosen, thirteen are judged side by side: balance, change, losses, what is told.

--- /dev/null
+++ b/whintrail/scale/ways.py
@@ -0,0 +1,295 @@
+"""`whintrail scale ways`: which engines a gateway keeps when it keeps only some, several ways side by side.
+
+Each way is a table of pairs (gateway, engine), worked out by the arithmetic that real gateways would use, and
+judged by what it does to balance, to change, to losses and to what gateways have to tell one another. Nothing
+here is on a wire or a clock: results are of kind "simulated".
+
+Sources: rendezvous hashing, D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM ToN 6(1), 1998; rounds of shuffles ("deterministic subsetting"), Beyer et al., "Site
+Reliability Engineering", O'Reilly 2016, chapter 20; consistent hashing, Karger et al., STOC 1997; arcs of
+a ring, Twitter's Finagle, "deterministic aperture"; low-discrepancy starts of the arcs, P. Ward, P. Wankadia
+and K. Guliani, "Reinventing Backend Subsetting at Google", ACM Queue 20(2), 2022.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import msgspec
+import numpy as np
+from numpy.typing import NDArray
+
+from whintrail.scale.results import Sample, sample, save, this_machine
+
+Ints = NDArray[np.int64]
+Words = NDArray[np.uint64]
+Floats = NDArray[np.float64]
+# Turns of the ring from one gateway number to the next: badly approximable irrationals, so that any run of
+# numbers, or every s-th of them, lies evenly (three-distance theorem).
+TURNS = [0.6180339887498949, 0.41421356237309515, 0.30277563773199456, 0.2360679774997898]
+TURNS += [0.19258240356725187, 0.7320508075688772, 0.16227766016837952, 0.14005494464025913]
+SIZES = [(200, 600), (1000, 4000), (4000, 15000)]
+ZONES = 19
+PACE_S, BATCH_S = 0.6, 0.5  # the fleet asks an engine so often; what is told waits so long for company
+HEAD_BYTES, MEMO_HEAD, SIGHTING = 28, 3, 7
+LOAD_FLOOR, DRAW_POWER, MEAN_USED = 0.2, 3.0, 0.5  # of the module's draw; the engines' mean use
+
+
+@dataclass(frozen=True, slots=True)
+class Pairs:
+    """Which gateway keeps which engine: two columns of one length, by gateway; engines by index."""
+
+    gateway: Ints
+    engine: Ints
+
+
+Way = Callable[[int, Words, int], Pairs]
+
+
+def mix(words: Words, salt: int) -> Words:
+    """SplitMix64's last step (Steele, Lea and Flood, OOPSLA 2014): 64 even bits of each word."""
+    z = words + np.uint64((salt * 0x9E3779B97F4A7C15 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF)
+    z = (z ^ (z >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
+    z = (z ^ (z >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
+    return z ^ (z >> np.uint64(31))
+
+
+def spot(words: Words, salt: int) -> Floats:
+    """A place on the ring, from 0 to 1."""
+    return (mix(words, salt) >> np.uint64(11)).astype(np.float64) / 2.0**53
+
+
+def arcs(first: Ints, length: Ints, order: Ints) -> Pairs:
+    """Of each gateway `length` engines from the `first`, round `order`."""
+    gateway = np.repeat(np.arange(len(first)), length)
+    within = np.arange(int(length.sum())) - np.repeat(np.cumsum(length) - length, length)
+    return Pairs(gateway, order[(np.repeat(first, length) + within) % max(1, len(order))])
+
+
+def joined(parts: list[Pairs], engines: int) -> Pairs:
+    """Each pair once."""
+    codes = np.unique(np.concatenate([p.gateway * engines + p.engine for p in parts]))
+    return Pairs(codes // engines, codes % engines)
+
+
+def rendezvous(gateways: int, engines: Words, keep: int) -> Pairs:
+    own = mix(np.arange(gateways, dtype=np.uint64), 77)
+    tops = [np.argpartition(mix(engines ^ word, 5), len(engines) - keep)[-keep:] for word in own]
+    return Pairs(np.repeat(np.arange(gateways), keep), np.concatenate(tops))
+
+
+def rounds(gateways: int, engines: Words, keep: int) -> Pairs:
+    """A round deals a shuffle of all engines to as many gateways as it serves whole."""
+    a_round = len(engines) // keep
+    orders = [np.argsort(mix(engines, 1000 + r), kind="stable") for r in range(-(-gateways // a_round))]
+    parts = [orders[g // a_round][(g % a_round) * keep :][:keep] for g in range(gateways)]
+    return Pairs(np.repeat(np.arange(gateways), keep), np.concatenate(parts))
+
+
+def cells(gateways: int, engines: Words, keep: int) -> Pairs:
+    """Disjoint groups: gateways of one group keep the same engines, and nobody else does."""
+    groups = max(1, len(engines) // keep)
+    order = np.argsort(mix(engines, 3), kind="stable")
+    parts = np.array_split(order, groups)
+    return Pairs(
+        np.concatenate([np.full(len(parts[g % groups]), g) for g in range(gateways)]),
+        np.concatenate([parts[g % groups] for g in range(gateways)]),
+    )
+
+
+def ranked(rings: int, even: bool) -> Way:
+    """Arcs of `keep / rings` engines in each of so many orders; `even`: gateways stand at g/gateways."""
+
+    def way(gateways: int, engines: Words, keep: int) -> Pairs:
+        parts, numbers = [], np.arange(gateways)
+        for ring in range(rings):
+            order = np.argsort(mix(engines, 10 + ring), kind="stable")
+            start = numbers / gateways if even else numbers * TURNS[ring] % 1.0
+            first = (start * len(engines)).astype(np.int64)
+            parts.append(arcs(first, np.full(gateways, keep // rings), order))
+        return joined(parts, len(engines))
+
+    return way
+
+
+def nearest(gateways: int, engines: Words, keep: int) -> Pairs:
+    """Engines stand where their hash puts them; a gateway keeps the first `keep` from its own place."""
+    places = spot(engines, 20)
+    order = np.argsort(places, kind="stable")
+    first = np.searchsorted(places[order], np.arange(gateways) * TURNS[0] % 1.0)
+    return arcs(first, np.full(gateways, keep), order)
+
+
+def split(rings: int) -> Way:
+    """Each engine stands in one of `rings` by its hash, gateways in all, in another order in each; a gateway
+    keeps what stands within an arc of one width, keep / engines, from its own place."""
+
+    def way(gateways: int, engines: Words, keep: int) -> Pairs:
+        parts, ring_of, places = [], mix(engines, 19) % np.uint64(rings), spot(engines, 20)
+        for ring in range(rings):
+            mine = np.flatnonzero(ring_of == ring)
+            order = mine[np.argsort(places[mine], kind="stable")]
+            ends = np.concatenate([places[order], places[order] + 1.0])
+            start = np.arange(gateways) * TURNS[ring] % 1.0
+            first = np.searchsorted(ends, start)
+            last = np.searchsorted(ends, start + keep / len(engines))
+            parts.append(arcs(first, last - first, order))
+        return joined(parts, len(engines))
+
+    return way
+
+
+WAYS: dict[str, Way] = {
+    "rendezvous": rendezvous,
+    "rounds": rounds,
+    "cells": cells,
+    "ring, even starts": ranked(1, even=True),
+    "ring": ranked(1, even=False),
+    "ring, 2 arcs": ranked(2, even=False),
+    "ring, 4 arcs": ranked(4, even=False),
+    "ring, 8 arcs": ranked(8, even=False),
+    "hash ring, first k": nearest,
+    "hash ring": split(1),
+    "hash ring, split in 2": split(2),
+    "hash ring, split in 4": split(4),
+    "hash ring, split in 8": split(8),
+}
+
+
+def spread(values: Floats | Ints) -> float:
+    """Coefficient of variation."""
+    return float(np.std(values) / max(1e-12, float(np.mean(values))))
+
+
+def loads(pairs: Pairs, traffic: Floats, engines: int, aware: bool) -> Floats:
+    """What each engine gets, the mean being 1. `aware`: each gateway draws its engines with the module's
+    weight by their loads, again and again until nothing moves."""
+    weight = np.ones(len(pairs.engine))
+    load: Floats = np.full(engines, 1.0)
+    for turn in range(120 if aware else 1):
+        whole = np.bincount(pairs.gateway, weight, len(traffic))
+        sent = traffic[pairs.gateway] * weight / np.maximum(1e-12, whole[pairs.gateway])
+        got = np.bincount(pairs.engine, sent, engines)
+        new: Floats = got / np.mean(got)
+        load = new if turn == 0 else 0.8 * load + 0.2 * new
+        weight = (LOAD_FLOOR + MEAN_USED * load[pairs.engine]) ** -DRAW_POWER
+    return load
+
+
+def gained(before: Pairs, ids: Ints, after: Pairs, ids_after: Ints, gateways: int) -> Ints:
+    """Engines new to each gateway that was there before; engines are told apart by id."""
+    most = int(max(ids.max(), ids_after.max())) + 1
+    old = before.gateway * most + ids[before.engine]
+    new = after.gateway * most + ids_after[after.engine]
+    fresh = np.setdiff1d(new, old, assume_unique=True) // most
+    return np.bincount(fresh[fresh < gateways], minlength=gateways)[:gateways]
+
+
+def talk(pairs: Pairs, gateways: int, engines: int) -> tuple[Ints, float, float]:
+    """Partners of each gateway; datagrams and bytes a second that one sends (as many reach it), mean."""
+    by_engine = np.argsort(pairs.engine, kind="stable")
+    holders = np.bincount(pairs.engine, minlength=engines)
+    keepers = np.split(pairs.gateway[by_engine], np.cumsum(holders)[:-1])
+    codes = [(k[:, None] * gateways + k[None, :]).ravel() for k in keepers if len(k)]
+    rates = [np.full(len(k) ** 2, 1 / PACE_S / len(k)) for k in keepers if len(k)]
+    seen, place = np.unique(np.concatenate(codes), return_inverse=True)
+    rate = np.bincount(place, np.concatenate(rates))
+    other = seen // gateways != seen % gateways
+    rate, teller = rate[other], seen[other] // gateways
+    datagrams = float(np.sum(-np.expm1(-rate * BATCH_S) / BATCH_S)) / gateways
+    sightings = float(np.sum(rate)) / gateways
+    size = datagrams * (HEAD_BYTES + MEMO_HEAD) + sightings * SIGHTING
+    return np.bincount(teller, minlength=gateways), datagrams, size
+
+
+def judge(name: str, gateways: int, engines: int, keep: int) -> list[Sample]:
+    """All quantities of one way at one size."""
+    way, random = WAYS[name], np.random.default_rng(1)
+    ids = np.arange(engines)
+    words = mix(ids.astype(np.uint64), 99)
+    found: list[Sample] = []
+
+    def add(quantity: str, unit: str, *values: float) -> None:
+        one = sample(quantity, unit, (gateways, engines), [float(v) for v in values], "simulated")
+        found.append(msgspec.structs.replace(one, subset=keep, note=name))
+
+    pairs = way(gateways, words, keep)
+    size = np.bincount(pairs.gateway, minlength=gateways)
+    holders = np.bincount(pairs.engine, minlength=engines)
+    add("part_engines", "count", float(size.min()), float(np.median(size)), float(size.max()))
+    add("holders_least", "count", holders.min())
+    add("holders_most", "count", holders.max())
+    add("holders_cv", "share", spread(holders))
+    add("orphans", "count", int((holders == 0).sum()))
+    for sigma in (0.0, 0.5, 1.0):
+        drawn = [np.exp(random.normal(-sigma * sigma / 2, sigma, gateways)) for _ in range(5 if sigma else 1)]
+        for aware in (False, True):
+            kind = f"{'aware' if aware else 'plain'}_sigma_{sigma:g}"
+            made = [loads(pairs, traffic, engines, aware) for traffic in drawn]
+            add(f"load_cv_{kind}", "share", *(spread(m) for m in made))
+            add(f"load_most_{kind}", "share", *(float(m.max()) for m in made))
+    # Change: engines that a gateway has to begin with.
+    comes = [
+        gained(way(gateways, np.delete(words, e), keep), np.delete(ids, e), pairs, ids, gateways).mean()
+        for e in random.integers(0, engines, 5)
+    ]
+    goes = [
+        gained(pairs, ids, way(gateways, np.delete(words, e), keep), np.delete(ids, e), gateways).mean()
+        for e in random.integers(0, engines, 5)
+    ]
+    add("churn_engine_comes", "count", *comes)
+    add("churn_engine_goes", "count", *goes)
+    left = np.flatnonzero(ids % ZONES != 0)
+    add(
+        "churn_zone_goes",
+        "count",
+        gained(pairs, ids, way(gateways, words[left], keep), left, gateways).mean(),
+    )
+    for more, text in ((1, "one"), (gateways // 10, "tenth")):
+        grown = way(gateways + more, words, keep)
+        add(f"churn_fleet_grows_{text}", "count", gained(pairs, ids, grown, ids, gateways).mean())
+    # Loss of gateways, the others' lists as before.
+    for text, lost in (
+        ("block", np.arange(gateways) < gateways // ZONES),
+        ("stride", np.arange(gateways) % ZONES == 0),
+    ):
+        stay = ~lost[pairs.gateway]
+        rest = Pairs(pairs.gateway[stay], pairs.engine[stay])
+        traffic = (~lost).astype(float)
+        add(f"orphans_{text}", "count", int((np.bincount(rest.engine, minlength=engines) == 0).sum()))
+        add(f"load_most_{text}", "share", float(loads(rest, traffic, engines, aware=False).max()))
+        add(f"load_most_aware_{text}", "share", float(loads(rest, traffic, engines, aware=True).max()))
+    partners, datagrams, sent = talk(pairs, gateways, engines)
+    add("memo_partners", "count", *partners[:: max(1, gateways // 200)])
+    add("memo_datagrams_sent_per_s", "datagrams/s", datagrams)
+    add("memo_bytes_sent_per_s", "bytes/s", sent)
+    return found
+
+
+@click.command()
+@click.option("--to", "path", type=click.Path(path_type=Path), default=Path("docs/capacity/ways.json"))
+@click.option("--size", type=click.IntRange(8), default=80, show_default=True, help="engines a gateway keeps")
+@click.option(
+    "--seconds", type=click.IntRange(1), default=900, show_default=True, help="ends by itself after"
+)
+@click.option("--most", type=click.IntRange(1), default=4000, show_default=True, help="gateways at most")
+def ways(path: Path, size: int, seconds: int, most: int) -> None:
+    """Ways of giving each gateway a part of the engines, judged side by side.
+
+    \b
+    Examples:
+      whintrail scale ways                              all sizes, to docs/capacity/ways.json
+      whintrail scale ways --most 200 --to /tmp/w.json  the smallest size alone
+    """
+    began, machine, samples = time.time(), this_machine(), list[Sample]()
+    note = "a mean over gateways where one figure stands; one simulated fleet a size, five draws of traffic"
+    for gateways, engines in SIZES:
+        for name in WAYS if gateways <= most else ():
+            if time.time() - began > seconds:
+                click.echo(f"ways: {seconds} s are over; nothing written", err=True)
+                raise SystemExit(1)
+            click.echo(f"{gateways} x {engines}: {name}", err=True)
+            samples += judge(name, gateways, engines, size)
+    save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, samples, note)
