--- a/whintrail/interface.py
+++ b/whintrail/interface.py
@@ -170,6 +170,8 @@
     weight: float
     state: EngineState
     started_us: int | None  # None: long ago
+    holders: int | None = None  # gateways that keep it; None: all of the fleet
+    rank: int = 0  # this gateway's place among them, from 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/whintrail/scale/ways.py
+++ b/whintrail/scale/ways.py
@@ -27,9 +27,10 @@
 Words = NDArray[np.uint64]
 Floats = NDArray[np.float64]
 # Turns of the ring from one gateway number to the next: badly approximable irrationals, so that any run of
-# numbers, or every s-th of them, lies evenly (three-distance theorem).
-TURNS = [0.6180339887498949, 0.41421356237309515, 0.30277563773199456, 0.2360679774997898]
-TURNS += [0.19258240356725187, 0.7320508075688772, 0.16227766016837952, 0.14005494464025913]
+# numbers, or every s-th of them, lies evenly (three-distance theorem); no two from the same square root, or
+# neighbours in one ring would be neighbours in the other.
+TURNS = [0.6180339887498949, 0.41421356237309515, 0.30277563773199456, 0.7320508075688772]
+TURNS += [0.19258240356725187, 0.6457513110645907, 0.16227766016837952, 0.14005494464025913]
 SIZES = [(200, 600), (1000, 4000), (4000, 15000)]
 ZONES = 19
 PACE_S, BATCH_S = 0.6, 0.5  # the fleet asks an engine so often; what is told waits so long for company
