--- a/whintrail/scale/ways.py
+++ b/whintrail/scale/ways.py
@@ -12,8 +12,9 @@
 """
 
 import time
+import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -21,7 +22,10 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from whintrail import interface as api
 from whintrail.scale.results import Sample, sample, save, this_machine
+from whintrail.subset.part import Part
+from whintrail.subset.plan import SubsetPlan
 
 Ints = NDArray[np.int64]
 Words = NDArray[np.uint64]
@@ -33,7 +37,9 @@
 TURNS += [0.19258240356725187, 0.6457513110645907, 0.16227766016837952, 0.14005494464025913]
 SIZES = [(200, 600), (1000, 4000), (4000, 15000)]
 ZONES = 19
-PACE_S, BATCH_S = 0.6, 0.5  # the fleet asks an engine so often; what is told waits so long for company
+READY = api.EngineState.READY
+PACE_S = 0.6  # the fleet asks an engine so often
+BATCHES_S = {"": 0.5, "_batch_1s": 1.0, "_batch_2s": 2.0}  # what is told waits so long for company
 HEAD_BYTES, MEMO_HEAD, SIGHTING = 28, 3, 7
 LOAD_FLOOR, DRAW_POWER, MEAN_USED = 0.2, 3.0, 0.5  # of the module's draw; the engines' mean use
 
@@ -188,8 +194,9 @@
     return np.bincount(fresh[fresh < gateways], minlength=gateways)[:gateways]
 
 
-def talk(pairs: Pairs, gateways: int, engines: int) -> tuple[Ints, float, float]:
-    """Partners of each gateway; datagrams and bytes a second that one sends (as many reach it), mean."""
+def talk(pairs: Pairs, gateways: int, engines: int) -> tuple[Ints, dict[str, tuple[float, float]]]:
+    """Partners of each gateway; and by batch the datagrams and bytes a second that one sends in the mean, as
+    many as reach it."""
     by_engine = np.argsort(pairs.engine, kind="stable")
     holders = np.bincount(pairs.engine, minlength=engines)
     keepers = np.split(pairs.gateway[by_engine], np.cumsum(holders)[:-1])
@@ -199,10 +206,54 @@
     rate = np.bincount(place, np.concatenate(rates))
     other = seen // gateways != seen % gateways
     rate, teller = rate[other], seen[other] // gateways
-    datagrams = float(np.sum(-np.expm1(-rate * BATCH_S) / BATCH_S)) / gateways
-    sightings = float(np.sum(rate)) / gateways
-    size = datagrams * (HEAD_BYTES + MEMO_HEAD) + sightings * SIGHTING
-    return np.bincount(teller, minlength=gateways), datagrams, size
+    told = float(np.sum(rate)) / gateways * SIGHTING
+    sent = {}
+    for name, batch_s in BATCHES_S.items():
+        datagrams = float(np.sum(-np.expm1(-rate * batch_s) / batch_s)) / gateways
+        sent[name] = datagrams, datagrams * (HEAD_BYTES + MEMO_HEAD) + told
+    return np.bincount(teller, minlength=gateways), sent
+
+
+def cost(gateways: int, engines: int, keep: int) -> list[Sample]:
+    """What the real `Part` takes, in processor time of one gateway's; a list of one kind over all zones."""
+    entries = tuple(
+        api.EngineEntry(
+            f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:7000", "k", f"z{n % ZONES}", 0, 1.0, READY, None
+        )
+        for n in range(engines)
+    )
+    given = api.Settings(
+        fleet_size=gateways, me=gateways // 3, zone="z0", classes=(), tenants=(), kind_cores={},
+        kind_memory_mb={}, max_grant_share=1, grants_heeded=False, priorities_heeded=False, tells_cost=False,
+        progress_us=0, reports_by=api.ReportsBy.PROBES, probes_allowed=True, cancel_allowed=True,
+        second_copies=False, peers_allowed=True, retry_after=True, max_retry_after_us=0, max_attempts=None,
+        max_open=None, keepalive_us=0, tick_us=5000, list_on_request=False, must_ask_us=None, cold_us=0,
+        start_capacity=1.0, tip_multiple=None, tip_after_us=0, order_settle_us=0, budget_share=None,
+        budget_free=0.0, budget_window_us=0, price_cross_zone=0.0,
+    )  # fmt: skip
+    starts, deltas, size = list[float](), list[float](), list[float]()
+    for turn in range(5):
+        if not turn:
+            tracemalloc.start()
+        began = time.process_time()
+        part = Part(SubsetPlan(size=keep), given)
+        part.listed(api.EngineList(api.ListKind.FULL, entries))
+        if turn:
+            starts.append((time.process_time() - began) * 1e6)
+        else:
+            size.append(float(tracemalloc.get_traced_memory()[0]))
+            tracemalloc.stop()
+        for entry in entries[turn :: len(entries) // 40] if turn else ():
+            for state in (api.EngineState.GONE, READY):
+                began = time.process_time()
+                part.listed(api.EngineList(api.ListKind.DELTA, (replace(entry, state=state),)))
+                deltas.append((time.process_time() - began) * 1e6)
+    found = [
+        sample("part_start_us", "us", (gateways, engines), starts, "core"),
+        sample("part_delta_us", "us", (gateways, engines), deltas, "core"),
+        sample("part_bytes", "bytes", (gateways, engines), size, "core"),
+    ]
+    return [msgspec.structs.replace(one, subset=keep, note="whintrail.subset.part.Part") for one in found]
 
 
 def judge(name: str, gateways: int, engines: int, keep: int) -> list[Sample]:
@@ -262,10 +313,11 @@
         add(f"orphans_{text}", "count", int((np.bincount(rest.engine, minlength=engines) == 0).sum()))
         add(f"load_most_{text}", "share", float(loads(rest, traffic, engines, aware=False).max()))
         add(f"load_most_aware_{text}", "share", float(loads(rest, traffic, engines, aware=True).max()))
-    partners, datagrams, sent = talk(pairs, gateways, engines)
+    partners, sent = talk(pairs, gateways, engines)
     add("memo_partners", "count", *partners[:: max(1, gateways // 200)])
-    add("memo_datagrams_sent_per_s", "datagrams/s", datagrams)
-    add("memo_bytes_sent_per_s", "bytes/s", sent)
+    for batch, (datagrams, size_sent) in sent.items():
+        add(f"memo_datagrams_sent_per_s{batch}", "datagrams/s", datagrams)
+        add(f"memo_bytes_sent_per_s{batch}", "bytes/s", size_sent)
     return found
 
 
@@ -293,4 +345,6 @@
                 raise SystemExit(1)
             click.echo(f"{gateways} x {engines}: {name}", err=True)
             samples += judge(name, gateways, engines, size)
+        if gateways <= most:
+            samples += cost(gateways, engines, size)
     save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, samples, note)
--- a/whintrail/subset/part.py
+++ b/whintrail/subset/part.py
@@ -2,7 +2,8 @@
 
 A pair of gateway and engine is kept by one rule, which every gateway works out alike from the list, the plan
 and the fleet's size: the engine's `holders` nearest gateways behind it on its ring keep it. How many they are
-is the greatest of: those within an arc of size / engines of the ring; `least_holders`; and, where a class is
+is the greatest of: those within an arc of size / engines or least_holders / gateways of the ring, whichever
+is wider; `least_holders`; and, where a class is
 bound to a zone or to kinds, those from whose place it is among the first `least_stratum` of that stratum.
 Seen from the gateway each of the three is a run of engines clockwise from its own place.
 """
@@ -294,10 +295,10 @@
         return circle
 
     def _width(self, home: Home) -> int:
-        """Of the arc that a gateway keeps: as many engines as the plan asks, and as its holders need."""
-        engines, gateways = len(home.engines), home.last - home.first + 1
-        keep = max(home.least, -(-self.plan.least_holders * engines // gateways))
-        return FULL if keep >= engines else FULL * keep // engines
+        """Of the arc that a gateway keeps: as many engines as the plan asks, and as its holders need; not
+        rounded to whole engines, or each step would be taken by all gateways at once."""
+        engines, gateways = max(1, len(home.engines)), home.last - home.first + 1
+        return min(FULL, max(FULL * home.least // engines, FULL * self.plan.least_holders // gateways))
 
     def _stratum_holders(self, known: Known, circle: Circle, strata: Iterable[Stratum]) -> int:
         """Gateways from whose place the engine is among the first that a stratum needs."""
