Let a gateway keep a part of the engines: list, links, memos, cold budgets and fleet counts

Change: where the operator's file has a subset part the list is cut to it before the links and the module (gateway/subset.py, Owner.keep_part); what one gateway's probes bring goes, in batches, to those that keep the engine; each entry names its holders and our rank, by which the module divides a cold engine's budget, its turns, the first share and the pace of probes. Engines out of the part stay in the fleet's counts. One that leaves the part drains first.

--- a/deploy/whintrail.jsonnet
+++ b/deploy/whintrail.jsonnet
@@ -22,4 +22,10 @@
   //   messages_per_s: 400, bytes_per_s: 40000,
   //   socket: '/run/whintrail/fleet.sock',
   // },
+
+  // Each gateway keeps a part of the engines (docs/subset.md); absent: all of them.
+  // subset: {
+  //   size: 80, least_holders: 8, least_stratum: 4,
+  //   regions: [{ zones: ['z1', 'z2'], first: 0, last: 443 }, { zones: ['z3'], first: 444, last: 887 }],
+  // },
 }
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -102,7 +102,7 @@
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
         self.stretch, self.mean_load = 1.0, 0.0  # the fleet's usual latency against the best, and load
         self.mean_span_us, self.most_mb = 0.0, max(settings.kind_memory_mb.values(), default=math.inf)
-        self.fleet = max(1, settings.fleet_size)
+        self.fleet: float = max(1, settings.fleet_size)  # gateways before an engine of ours, in the mean
         self.share = 1.0 / self.fleet  # of the fleet's work, this gateway's part
 
     def start(self) -> list[api.Action]:
@@ -345,7 +345,7 @@
         while engine.cold_sent and engine.cold_sent[0][0] < self.now - s.tip_after_us - s.tick_us:
             engine.cold_sent.popleft()
         able, cls, known = self._able(engine), query.cls, self.classes.values()
-        full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / self.fleet
+        full = SAFE_PART * s.tip_multiple * engine.cores * s.tip_after_us / (engine.holders or self.fleet)
         work = cls.cost.value * cls.told_usual or full * able  # a few bad plans are not what all are like
         # One that seems to have room is asked for more, though never so that all together ask for over N: a
         # report may be false or old. Nor by one just started, which does not know what it sent before.
@@ -637,17 +637,24 @@
         known = [e for e in self.engines.values() if e.state is not api.EngineState.GONE or e.threads]
         self.engines, self.refreshed_at, self.sums = {e.address: e for e in known}, 0, None
         self.ready = [e for e in known if e.state is api.EngineState.READY]
+        # Where gateways keep parts of the engines, ours of each is one among those that keep it.
+        parts = [1 / e.holders for e in self.ready if e.holders]
+        fleet = len(parts) / sum(parts) if parts else max(1, self.settings.fleet_size)
+        if fleet != self.fleet:
+            self.share, self.fleet = self.share * self.fleet / fleet, fleet
         self.keys = {key: self.engines[name] for key, name in memo.keys_of(self.engines).items()}
         self._release()
 
     def _entry(self, entry: api.EngineEntry) -> None:
         if (engine := self.engines.get(entry.engine)) is None:
             engine = self.engines[entry.engine] = Engine(address=entry.engine, busy_at=BUSY_HELD)
-            engine.phase = self.settings.me / self.fleet + memo.key_of(entry.engine) / 65_536
             engine.probe_at = self.now - int(self.random.random() * PROBE_WANTED_US)
         if engine.state is api.EngineState.READY and entry.state is not api.EngineState.READY:
             self._remark(engine, api.Reason.DRAINED)
         engine.kind, engine.zone, engine.cell, engine.state = entry.kind, entry.zone, entry.cell, entry.state
+        engine.holders, fleet = entry.holders, max(1, self.settings.fleet_size)
+        turn = entry.rank / entry.holders if entry.holders else self.settings.me / fleet
+        engine.phase = turn + memo.key_of(entry.engine) / 65_536
         engine.cores = max(1.0, self.settings.kind_cores.get(entry.kind, entry.weight))
         if entry.started_us is not None:
             cold_until = entry.started_us + self.settings.cold_us
@@ -717,7 +724,7 @@
             if s.peers_allowed:  # all hear what one asks: each asks its part, more as nothing is heard
                 age = min(PROBE_STALE, (self.now - at) / PROBE_SHARED_US)
                 near = self.now < engine.linked_until
-                part = passed / PROBE_SHARED_US / self.fleet * age**2
+                part = passed / PROBE_SHARED_US / (engine.holders or self.fleet) * age**2
                 if self.random.random() >= part * (len(self.ready) / max(1, linked) if near else 0.1):
                     continue
             if self.now - at >= PROBE_US:
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -98,10 +98,28 @@
     socket: Annotated[str, Meta(min_length=1, max_length=100)] | None = None  # of `whintrail fleet`
 
 
+class Region(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Zones near one another, and the numbers of the gateways that stand there."""
+
+    zones: Annotated[tuple[Annotated[str, Meta(min_length=1, max_length=64)], ...], Meta(min_length=1)]
+    first: Annotated[int, Meta(ge=0, le=0xFFFF)]
+    last: Annotated[int, Meta(ge=0, le=0xFFFF)]
+
+
+class Subset(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Each gateway keeps a part of the engines, by arithmetic on which all agree; see docs/subset.md."""
+
+    size: Annotated[int, Meta(ge=8, le=100_000)] = 80  # engines a gateway keeps
+    least_holders: Annotated[int, Meta(ge=1, le=1000)] = 8  # gateways that keep an engine
+    least_stratum: Annotated[int, Meta(ge=0, le=1000)] = 4  # engines, where a class is bound to places
+    regions: tuple[Region, ...] = ()
+
+
 class OperatorFile(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1] = 1
     logging: Logging = Logging()
     background: Background = Background()
     timeline: Timeline | None = None  # absent: off
     fleet: Fleet | None = None  # absent: off
+    subset: Subset | None = None  # absent: each gateway keeps all engines
     rules: dict[str, Any] | None = None  # see docs/versions.md; with fleet.versions only told, not applied
--- a/whintrail/gateway/fleet.py
+++ b/whintrail/gateway/fleet.py
@@ -147,14 +147,14 @@
         return self.owner.tallies()
 
     def engines(self) -> dict[str, EngineSeen]:
-        found = {}
-        for name, engine in self.owner.module.engines.items():
-            if engine.state is EngineState.GONE:
+        found, kept = {}, self.owner.module.engines  # others than those we know only by the list
+        for name, listed in self.owner.listed_engines().items():
+            if listed.state is EngineState.GONE:
                 continue
             drained = name in self.drained
-            leaves = engine.state is EngineState.DRAINING and not drained
-            out = "leaving" if leaves else "not fit" if engine.fails and not drained else ""
-            found[name] = EngineSeen(engine.zone, out)
+            leaves = listed.state is EngineState.DRAINING and not drained
+            unfit = name in kept and kept[name].fails and not drained
+            found[name] = EngineSeen(listed.zone, "leaving" if leaves else "not fit" if unfit else "")
         return found
 
     @staticmethod
--- a/whintrail/gateway/owner.py
+++ b/whintrail/gateway/owner.py
@@ -19,6 +19,7 @@
 from whintrail.gateway.log import Log
 from whintrail.gateway.postgres import Rows
 from whintrail.gateway.statement import Statement
+from whintrail.state import Engine
 from whintrail.structures.wheel import Timer, Wheel
 
 
@@ -90,6 +91,15 @@
     def drain(self, engines: frozenset[str]) -> api.EngineList | None: ...
 
 
+class Subset(Protocol):
+    """The part of the engines that this gateway keeps, where each keeps a part; see `gateway/subset.py`."""
+
+    def listed(self, event: api.EngineList, addresses: Mapping[str, str]) -> "Listed | None": ...
+    def engines(self) -> Mapping[str, api.EngineEntry]: ...
+    def tell(self, now: int, payload: bytes) -> bool: ...
+    def turn(self, now: int) -> "Listed | None": ...
+
+
 class Engines(Protocol):
     """What carries attempts and probes; each gets exactly one end through the queue, never at once."""
 
@@ -257,6 +267,7 @@
         self.timeline: TimeLine | None = None
         self.overlay: ListOverlay | None = None  # of the fleet's drains, where there is a fleet
         self.drained: frozenset[str] = frozenset()
+        self.subset: Subset | None = None  # None: we keep all engines
         self.on_list: Callable[[Listed], None] | None = None
         self.rules: Callable[[], Ruled] | None = None  # those in force at this moment, where there are any
         self.rule: Ruled | None = None  # as the module knows them
@@ -382,11 +393,16 @@
                 self._tell(probed)
             case Gone(query):
                 self._gone(query, "left")
-            case Listed(event):
-                self.engines.update(item)
+            case Listed(event, addresses):
+                if self.subset is None:
+                    self.engines.update(item)
                 if self.on_list is not None:
                     self.on_list(item)
-                self._listed(event if self.overlay is None else self.overlay.listed(event))
+                shown = event if self.overlay is None else self.overlay.listed(event)
+                if self.subset is None:
+                    self._listed(shown)
+                else:
+                    self._kept(self.subset.listed(shown, addresses))
             case Drains(engines):
                 self.drained = engines
                 self._lay_over()
@@ -404,9 +420,33 @@
     def _lay_over(self) -> None:
         if self.overlay is not None:
             shut = self.drained.union(self.rule.shut) if self.rule is not None else self.drained
-            if (changed := self.overlay.drain(shut)) is not None:
+            changed = self.overlay.drain(shut)
+            if changed is not None and self.subset is not None:
+                self._kept(self.subset.listed(changed, {}))
+            elif changed is not None:
                 self._listed(changed)
 
+    # --- Where each gateway keeps a part of the engines.
+
+    def keep_part(self, subset: Subset, every_us: int) -> None:
+        """From now on only that part of the list counts here; before the first list."""
+        self.subset = subset
+
+        def turn() -> None:
+            self.timers.set(self.now + every_us, turn)
+            self._kept(subset.turn(self.now))
+
+        turn()
+
+    def _kept(self, kept: Listed | None) -> None:
+        if kept is not None:
+            self.engines.update(kept)
+            self._listed(kept.event)
+
+    def listed_engines(self) -> Mapping[str, Engine | api.EngineEntry]:
+        """All engines of the list, whether or not we keep them."""
+        return self.module.engines if self.subset is None else self.subset.engines()
+
     # --- For the fleet.
 
     def _rule(self) -> None:
@@ -630,7 +670,9 @@
                 case api.SendProbe(engine):
                     self.engines.probe(engine)
                 case api.TellPeer(target, payload):
-                    if self.peers is not None:
+                    subset = self.subset if target is None else None
+                    batched = subset is not None and subset.tell(self.now, payload)
+                    if self.peers is not None and not batched:
                         self.peers.tell(target, payload)
                 case api.SetTimer(token, at_us):
                     self.timers.set(at_us, lambda token=token: self._tell(api.TimerFired(token)))  # type: ignore[misc]
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -94,6 +94,7 @@
             raise StartError(f"the configuration can't be used: {type(error).__name__}: {error}") from error
         self.owner = Owner(settings, seed, self.limits, self.inbox, self.links, self.counters, self.log)
         self.owner.peers = self.peers
+        self._open_subset(settings)
         self.keeper = self._open_timeline(settings)
         self.stopping = asyncio.Event()
         self.fleet = self._open_fleet(settings)
@@ -147,6 +148,20 @@
         self.owner.observe(keeper.timeline, keeper.tick, self.limits.timeline_tick_us)
         return keeper
 
+    def _open_subset(self, settings: Settings) -> None:
+        """The part of the engines that we keep, where the operator's file asks for parts; else all."""
+        if self.operator is None or self.operator.subset is None:
+            return
+        from whintrail.gateway.subset import TURN_US, PlanError, SubsetSide, plan_of
+
+        owner = self.owner
+        try:
+            plan = plan_of(self.operator.subset)
+            subset = SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
+        except PlanError as error:
+            raise StartError(str(error)) from error
+        owner.keep_part(subset, TURN_US)
+
     def _open_fleet(self, settings: Settings) -> "FleetPart | None":
         """The fleet, where the operator's file asks for one and gateways may talk; else it is off."""
         if self.operator is None or self.operator.fleet is None:
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -60,6 +60,7 @@
     zone: str = ""
     cell: int = 0
     state: api.EngineState = api.EngineState.GONE
+    holders: int | None = None  # gateways that keep it; None: all
     cold_until: int = 0
     phase: float = 0.0  # our turn among the gateways while it is cold
     cold_sent: deque[tuple[int, float, "ClassState"]] = field(
