--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -180,3 +180,18 @@
         driver.end(number, api.Outcome.OK, work_ms=300.0)
     driver.ask(1000, cost_us=None)
     assert 290_000 < driver.gateway.queries[1000].span_us < 330_000  # not three times as much again
+
+
+def test_an_engine_long_unheard_is_not_taken_for_one_that_holds_as_much_and_was_heard() -> None:
+    """Engines were compared by what they hold of ours: a stale report counted as fresh where another's was, and
+    to look for one among many cost a comparison of all fields with each."""
+    driver = Driver(settings(query_class(zones=("z2",))), engine("a"), engine("b"), engine("c", zone="z2"))
+    stale, heard, other = (driver.gateway.engines[name] for name in "abc")
+    driver.tell(api.ProbeEnded("a", api.Outcome.OK, 1000, api.LoadReport(utilisation=1.9)))
+    driver.now += 5 * SECOND
+    driver.tell(api.ProbeEnded("b", api.Outcome.OK, 1000, api.LoadReport(utilisation=0.1)))
+    for query in (1, 2):  # the first makes all weights anew, at one time
+        driver.now += SECOND // 2
+        driver.ask(query)
+    assert stale != heard
+    assert driver.gateway.whole.cores == stale.cores + heard.cores + other.cores
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -274,7 +274,8 @@
         self.mean_load = sum(loads) / len(loads)
         # Our part of the fleet is one of what is fit to use: not of what rests, is cold or is over-full.
         fit = [e for e in ready if e.fails == 0 and now >= max(e.full_until, e.cold_until)] or ready
-        self.whole.cores = sum(e.cores / (max(1.0, e.strain) if e in fresh else 1.0) for e in fit)
+        known = ((e, now - e.report_at <= REPORT_AGE_US) for e in fit)
+        self.whole.cores = sum(e.cores / (max(1.0, e.strain) if heard else 1.0) for e, heard in known)
         held = sum(e.report.held or 0 for e in fresh if e.report) * len(ready) / max(1, len(fresh))
         if held > 0:  # utilisation does not tell: it stays low on engines whose disks are jammed
             share = min(1.0, len(self.out) / held)
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -41,7 +41,7 @@
         return self.value
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)  # each is itself: two that hold as much are not the same engine
 class Sent:
     """Threads that one engine holds of ours, or all engines together."""
 
