--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -183,8 +183,8 @@
 
 
 def test_an_engine_long_unheard_is_not_taken_for_one_that_holds_as_much_and_was_heard() -> None:
-    """Engines were compared by what they hold of ours: a stale report counted as fresh where another's was, and
-    to look for one among many cost a comparison of all fields with each."""
+    """Engines were compared by what they hold of ours: a stale report counted as fresh where another's
+    was, and to look for one among many cost a comparison of all fields with each."""
     driver = Driver(settings(query_class(zones=("z2",))), engine("a"), engine("b"), engine("c", zone="z2"))
     stale, heard, other = (driver.gateway.engines[name] for name in "abc")
     driver.tell(api.ProbeEnded("a", api.Outcome.OK, 1000, api.LoadReport(utilisation=1.9)))
