--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -587,6 +587,24 @@
     assert [len(memo.decode(data)) for data in sent] == [36, 36, len(keys) - 72]
 
 
+def test_one_batch_in_four_spares_three_quarters_of_the_bytes_to_each_target_alike() -> None:
+    told = whole(TALKING)[0]
+    sent: dict[int, dict[int, int]] = {}
+    for every in (1, 4):
+        teller, counts = Telling(told.part, 0, every=every), sent.setdefault(every, {})
+        for now in range(0, 40 * BATCH_US, BATCH_US // 8):
+            for key in memo.keys_of(told.entries):
+                teller.add(now, memo.encode([replace(SIGHTING, key=key)]))
+            for target, data in teller.due(now):
+                counts[target] = counts.get(target, 0) + len(memo.decode(data))
+        assert teller.counts["told"] + teller.counts["spared"] + len(teller.waiting) == sum(
+            (len(told.part.keepers(e)) - 1) * 320 for e in memo.keys_of(told.entries).values()
+        )
+    assert sent[1].keys() == sent[4].keys()
+    for target, count in sent[1].items():
+        assert abs(sent[4][target] - count / 4) <= 0.05 * count
+
+
 def test_a_full_queue_drops_the_oldest_and_counts_them() -> None:
     told = whole(TALKING)[0]
     teller = Telling(told.part, 0, most=10)
--- a/whintrail/scale/ways.py
+++ b/whintrail/scale/ways.py
@@ -215,29 +215,20 @@
 
 
 def cost(gateways: int, engines: int, keep: int) -> list[Sample]:
-    """What the real `Part` takes, in processor time of one gateway's; a list of one kind over all zones."""
+    """What the real `Part` takes in processor time of one gateway; and how many engines it keeps, over 40
+    gateways, where no class is bound, where repeats stay in a zone, and where they stay in a cell of 30."""
     entries = tuple(
-        api.EngineEntry(
-            f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:7000", "k", f"z{n % ZONES}", 0, 1.0, READY, None
-        )
+        api.EngineEntry(f"10.0.{n >> 8}.{n & 255}:7000", "k", f"z{n % ZONES}", n // 570, 1.0, READY, None)
         for n in range(engines)
     )
-    given = api.Settings(
-        fleet_size=gateways, me=gateways // 3, zone="z0", classes=(), tenants=(), kind_cores={},
-        kind_memory_mb={}, max_grant_share=1, grants_heeded=False, priorities_heeded=False, tells_cost=False,
-        progress_us=0, reports_by=api.ReportsBy.PROBES, probes_allowed=True, cancel_allowed=True,
-        second_copies=False, peers_allowed=True, retry_after=True, max_retry_after_us=0, max_attempts=None,
-        max_open=None, keepalive_us=0, tick_us=5000, list_on_request=False, must_ask_us=None, cold_us=0,
-        start_capacity=1.0, tip_multiple=None, tip_after_us=0, order_settle_us=0, budget_share=None,
-        budget_free=0.0, budget_window_us=0, price_cross_zone=0.0,
-    )  # fmt: skip
+    whole = api.EngineList(api.ListKind.FULL, entries)
     starts, deltas, size = list[float](), list[float](), list[float]()
     for turn in range(5):
         if not turn:
             tracemalloc.start()
         began = time.process_time()
-        part = Part(SubsetPlan(size=keep), given)
-        part.listed(api.EngineList(api.ListKind.FULL, entries))
+        part = Part(SubsetPlan(size=keep), given(gateways, gateways // 3, None))
+        part.listed(whole)
         if turn:
             starts.append((time.process_time() - began) * 1e6)
         else:
@@ -245,17 +236,46 @@
             tracemalloc.stop()
         for entry in entries[turn :: len(entries) // 40] if turn else ():
             for state in (api.EngineState.GONE, READY):
+                change = api.EngineList(api.ListKind.DELTA, (replace(entry, state=state),))
                 began = time.process_time()
-                part.listed(api.EngineList(api.ListKind.DELTA, (replace(entry, state=state),)))
+                part.listed(change)
                 deltas.append((time.process_time() - began) * 1e6)
     found = [
         sample("part_start_us", "us", (gateways, engines), starts, "core"),
         sample("part_delta_us", "us", (gateways, engines), deltas, "core"),
         sample("part_bytes", "bytes", (gateways, engines), size, "core"),
     ]
+    kinds = {"free": None, "keyed_zone": api.DedupGroup.ZONE, "keyed_cell": api.DedupGroup.CELL}
+    for text, group in kinds.items():
+        sizes, holders = list[float](), list[float]()
+        for me in range(0, gateways, gateways // 40):
+            part = Part(SubsetPlan(size=keep), given(gateways, me, group))
+            part.listed(whole)
+            sizes.append(float(len(part.shown)))
+            holders += [float(count or gateways) for count, _ in part.shown.values()]
+        found.append(sample(f"part_engines_{text}", "count", (gateways, engines), sizes, "core"))
+        found.append(sample(f"part_holders_{text}", "count", (gateways, engines), holders, "core"))
     return [msgspec.structs.replace(one, subset=keep, note="whintrail.subset.part.Part") for one in found]
 
 
+def given(gateways: int, me: int, group: api.DedupGroup | None) -> api.Settings:
+    """Settings that leave a `Part` nothing to heed but the fleet and, perhaps, one keyed class."""
+    keyed = api.QueryClass(
+        name="keyed", aim_us=1, aim_stretch=1.0, deadline_us=1, effect=api.Effect.BY_KEY,
+        group=group or api.DedupGroup.ALL, window_us=1, worth=1.0, late_share=0.0, in_order=False, zones=None,
+        kinds=None, threads=1, is_load=False, waits_for_load=False,
+    )  # fmt: skip
+    return api.Settings(
+        fleet_size=gateways, me=me, zone="z0", classes=(keyed,), tenants=(), kind_cores={},
+        kind_memory_mb={}, max_grant_share=1, grants_heeded=False, priorities_heeded=False, tells_cost=False,
+        progress_us=0, reports_by=api.ReportsBy.PROBES, probes_allowed=True, cancel_allowed=True,
+        second_copies=False, peers_allowed=True, retry_after=True, max_retry_after_us=0, max_attempts=None,
+        max_open=None, keepalive_us=0, tick_us=5000, list_on_request=False, must_ask_us=None, cold_us=0,
+        start_capacity=1.0, tip_multiple=None, tip_after_us=0, order_settle_us=0, budget_share=None,
+        budget_free=0.0, budget_window_us=0, price_cross_zone=0.0,
+    )  # fmt: skip
+
+
 def judge(name: str, gateways: int, engines: int, keep: int) -> list[Sample]:
     """All quantities of one way at one size."""
     way, random = WAYS[name], np.random.default_rng(1)
--- a/whintrail/subset/telling.py
+++ b/whintrail/subset/telling.py
@@ -2,7 +2,8 @@
 
 A sighting waits at most `batch_us` for others that go to the same gateway; its age grows by the wait. Targets
 have their turns at different times within that, and gateways at different phases, so that what one sends, and
-what one hears, does not come in one gust.
+what one hears, does not come in one gust. Where not all that is told is heeded, `every` spares bytes:
+each target is told what one batch in so many holds, and what the others hold is dropped.
 """
 
 from collections import Counter, deque
@@ -25,10 +26,13 @@
 
 
 class Telling:
-    """`counts`: sightings `taken`, `told` (to a gateway each), `dropped` (a full queue), `unknown` (of no
-    engine of the part, or of two that share a key)."""
+    """`counts`: sightings `taken`, `unknown` (of no engine of the part, or of two that share a key); and by
+    target `told`, `spared` (by `every`) and `dropped` (a full queue)."""
 
-    def __init__(self, part: Part, me: int, batch_us: int = BATCH_US, most: int = MOST_WAITING) -> None:
+    def __init__(
+        self, part: Part, me: int, batch_us: int = BATCH_US, every: int = 1, most: int = MOST_WAITING
+    ) -> None:
+        self.every = every
         self.part, self.me, self.batch_us, self.most = part, me, batch_us, most
         self.waiting: deque[Waiting] = deque()
         self.counts: Counter[str] = Counter()
@@ -68,7 +72,9 @@
         batches: dict[int, list[bytes]] = {}
         stay: deque[Waiting] = deque()
         for item in self.waiting:
-            if item.target % TURNS in served:
+            if item.target % TURNS in served and (turn // TURNS + item.target // TURNS) % self.every:
+                self.counts["spared"] += 1
+            elif item.target % TURNS in served:
                 batches.setdefault(item.target, []).append(aged(item.sighting, now_us - item.added_us))
             else:
                 stay.append(item)
