Leave no gateway with next to nothing: a floor of a quarter of the size under each part

Found by looking at all 4,000 parts: where classes repeat within cells (of 30), clumps left a gateway with no engine at all (sizes 0 to 200).

--- a/whintrail/subset/part.py
+++ b/whintrail/subset/part.py
@@ -6,10 +6,12 @@
 
 - those within an arc of size / engines, or of least_holders / gateways, of the ring, whichever is wider;
 - `least_holders`;
+- those from whose place it is among the first quarter of `size`: no gateway is left with next to nothing
+  where engines happen to stand thinly, or in clumps;
 - where a class is bound to a zone or to kinds, or repeats within its zone only: those from whose place the
   engine is among the first `least_stratum` of that stratum.
 
-Seen from a gateway each of the three is a run of engines clockwise from its own place, so that what it keeps
+Seen from a gateway each of the four is a run of engines clockwise from its own place, so that what it keeps
 is found without a look at the others.
 """
 
@@ -23,6 +25,7 @@
 from whintrail.subset.ring import FULL, MASK, TURNS, Circle, words_of
 
 RINGS = 2
+LEAST_PART = 4  # a gateway keeps at least one engine in so many of what it keeps in the mean
 CLUMP = 4  # engines of one cell that stand together, at least, where a class repeats within cells only
 SPREAD_BITS = 24  # of a place: what tells engines of one clump apart
 Spot = tuple[int, str]  # a place and the engine that stands there
@@ -39,7 +42,7 @@
     place: int
     strata: tuple[Stratum, ...]
     share: Share | None = None  # ours, None: not kept; it holds while `stamp` does,
-    stamp: int = -1
+    stamp: tuple[int, int] | None = None
     low: int = 0  # from this width of the home's arc on,
     high: int = 0  # and below this one
 
@@ -72,15 +75,28 @@
         self.changes += 1
         del self.rings[ring][bisect_left(self.rings[ring], spot)]
 
-    def run(self, ring: int, start: int, least: int, width: int) -> Iterator[str]:
-        """The engines clockwise after a place: so many at least, and all within a width."""
+    def run(self, ring: int, start: int, least: int, width: int) -> Iterator[int]:
+        """Indices of the engines clockwise after a place: so many at least, and all within a width."""
         spots = self.rings[ring]
         first = bisect_left(spots, (start, ""))
         for step in range(len(spots)):
-            place, engine = spots[(first + step) % len(spots)]
-            if step >= least and (place - start) & MASK >= width:
+            index = (first + step) % len(spots)
+            if step >= least and (spots[index][0] - start) & MASK >= width:
                 return
-            yield engine
+            yield index
+
+    def thin(self, ring: int, index: int, quota: int, width: int) -> bool:
+        """Whether fewer than so many stand within a width up to an engine."""
+        spots = self.rings[ring]
+        return quota >= len(spots) or (spots[index][0] - spots[index - quota][0]) & MASK > width
+
+    def reaching(self, known: Known, quota: int, circle: Circle) -> int:
+        """Gateways from whose place an engine is among the first so many of these."""
+        spots = self.rings[known.ring]
+        if quota >= len(spots):
+            return len(circle)
+        at = bisect_left(spots, (known.place, known.entry.engine))
+        return circle.between(spots[at - quota][0], known.place) if quota else 0
 
     def quotas(self, least: int) -> tuple[int, ...]:
         """So many engines shared out to the rings, evenly as far as each has them."""
@@ -96,6 +112,7 @@
     least: int  # engines that each of these gateways is to keep in the mean
     engines: Rings = field(default_factory=Rings)
     width: int = FULL  # of the arc that each keeps
+    floors: tuple[int, ...] = (0,) * RINGS  # engines of each ring that each keeps at least
 
 
 class Part:
@@ -268,7 +285,7 @@
             clump = other >> (64 - bits) if bits else 0
             high, other = words_of(f"{known.entry.zone}\0{known.entry.cell}\0{bits}\0{clump}")
             place = high >> SPREAD_BITS << SPREAD_BITS | place >> (64 - SPREAD_BITS)
-        known.ring, known.place, known.stamp = other % RINGS, place, -1
+        known.ring, known.place, known.stamp = other % RINGS, place, None
         for rings in self._places(known):
             rings.add(known.ring, (place, engine))
 
@@ -301,17 +318,15 @@
         engines, gateways = max(1, len(home.engines)), home.last - home.first + 1
         return min(FULL, max(FULL * home.least // engines, FULL * self.plan.least_holders // gateways))
 
+    def _floors(self, home: Home) -> tuple[int, ...]:
+        return home.engines.quotas(home.least // LEAST_PART)
+
     def _stratum_holders(self, known: Known, circle: Circle, strata: Iterable[Stratum]) -> int:
         """Gateways from whose place the engine is among the first that a stratum needs."""
-        most = 0
+        least, most = self.plan.least_stratum, 0
         for stratum in strata:
             rings = self.strata[stratum]
-            spots, quota = rings.rings[known.ring], rings.quotas(self.plan.least_stratum)[known.ring]
-            if quota >= len(spots):
-                return len(circle)
-            if quota:
-                at = bisect_left(spots, (known.place, known.entry.engine))
-                most = max(most, circle.between(spots[at - quota][0], known.place))
+            most = max(most, rings.reaching(known, rings.quotas(least)[known.ring], circle))
         return most
 
     def _abroad(self, known: Known) -> list[Stratum]:
@@ -330,17 +345,20 @@
         near = max(
             circle.within(known.place, home.width),
             min(len(circle), self.plan.least_holders),
+            home.engines.reaching(known, home.floors[known.ring], circle),
             self._stratum_holders(known, circle, known.strata),
         )
         if self.plan.regions and len(circle) < self.gateways and (strata := self._abroad(known)):
             return near, self._stratum_holders(known, self._circle(home, known.ring, True), strata)
         return near, 0
 
-    def _share(self, known: Known) -> Share | None:
+    def _share(self, known: Known, thin: bool) -> Share | None:
         """Holders of an engine and our place among them, those of its region first; None: we do not keep it.
-        Worked out anew only where the width, or a stratum of the engine, has changed so that it matters."""
+        Worked out anew only where the width, a stratum of the engine, or a thin stretch about it has changed
+        so that it may matter."""
         home = self._home(known)
-        stamp = sum(self.strata[s].changes for s in known.strata) if known.strata else 0
+        strata = sum(self.strata[s].changes for s in known.strata) if known.strata else 0
+        stamp = strata, home.engines.changes if thin else -1
         if stamp == known.stamp and known.low <= home.width < known.high:
             return known.share
         near, far = self._holders(known)
@@ -356,26 +374,35 @@
                         known.share = near + far, before + rank
         return known.share
 
-    def _candidates(self) -> Iterator[str]:
-        """Runs of engines clockwise from our places: all that we keep, some of them more than once."""
+    def _candidates(self) -> Iterator[tuple[str, bool]]:
+        """Runs of engines clockwise from our places: all that we keep, some of them more than once. With each
+        whether engines stand so thinly before it that the floor under parts may settle who keeps it."""
         for home in self.homes:
-            for ring in range(RINGS):
-                if len(home.engines) and home.first <= self.me <= home.last:
-                    circle = self._circle(home, ring)
-                    at, start = circle.index(self.me), self.me * TURNS[ring] & MASK
-                    assert at is not None
-                    ahead = circle.places[(at + self.plan.least_holders) % len(circle)]
-                    alone = len(circle) <= self.plan.least_holders
-                    width = FULL if alone else max(home.width, (ahead - start) & MASK)
-                    yield from home.engines.run(ring, start, 0, width)
+            engines = home.engines
+            for ring in range(RINGS) if len(engines) and home.first <= self.me <= home.last else ():
+                circle = self._circle(home, ring)
+                at, start = circle.index(self.me), self.me * TURNS[ring] & MASK
+                assert at is not None
+                ahead = circle.places[(at + self.plan.least_holders) % len(circle)]
+                alone = len(circle) <= self.plan.least_holders
+                width = FULL if alone else max(home.width, (ahead - start) & MASK)
+                quota, spots = home.floors[ring], engines.rings[ring]
+                for index in engines.run(ring, start, quota, width):
+                    yield spots[index][1], engines.thin(ring, index, quota, home.width)
         for rings in self.strata.values():
             for ring, quota in enumerate(rings.quotas(self.plan.least_stratum)):
-                yield from rings.run(ring, self.me * TURNS[ring] & MASK, quota, 0)
+                for index in rings.run(ring, self.me * TURNS[ring] & MASK, quota, 0):
+                    engine = rings.rings[ring][index][1]
+                    known = self.known[engine]
+                    home = self._home(known)
+                    place = bisect_left(home.engines.rings[ring], (known.place, engine))
+                    yield engine, home.engines.thin(ring, place, home.floors[ring], home.width)
 
     def _recount(self) -> None:
         """What we keep, with its holders; what is shown to the module is compared with it by who asks."""
         for home in self.homes:
             home.width = self._width(home)
+            home.floors = self._floors(home)
         self.whole = len(self.known) <= self.plan.size
         if not self.plan.regions:
             self.whole = self.whole or self.homes[0].width == FULL
@@ -383,9 +410,9 @@
         if self.whole:
             shown = dict.fromkeys(self.known, (None, 0))
         else:
-            for engine in self._candidates():
+            for engine, thin in self._candidates():
                 if engine not in shown:
-                    share = self._share(self.known[engine])
+                    share = self._share(self.known[engine], thin)
                     if share is not None:
                         shown[engine] = share
         self.shown = shown
