Record what a simulated fleet with faults sends, before its look-ups change

Need: the simulated fleet's cost is square in its size, partly by scans in the real cores. They are to go without any datagram changing.

tests/test_simulated_growth.py plays 14 and 40 gateways with versions, slots, drains, a release, lists, losses, a zone cut off, members killed, stopped and ended, and compares a digest of every datagram (moment, sender, target, bytes).

--- /dev/null
+++ b/tests/test_simulated_growth.py
@@ -0,0 +1,146 @@
+"""What a simulated fleet sends does not depend on how its members look things up, and what it costs grows
+with the fleet, not with its square.
+
+The digests were recorded with the code that looked through all members each turn (commit f373ec2).
+"""
+
+from collections.abc import Callable
+from functools import partial
+from hashlib import blake2b
+from random import Random
+
+import pytest
+
+from whintrail.fleet.budget import Allowed
+from whintrail.fleet.leader import EngineSeen, Rules
+from whintrail.fleet.node import Given
+from whintrail.fleet.state import HALTED, RUNNING
+from whintrail.fleet.wire import Change, WantDrain, WantRelease, WantSlot, WantTurn, WantVersion
+from whintrail.standins.simulated import Process, World, sound
+from whintrail.versions.body import Body
+from whintrail.versions.member import VersionPace
+
+ZONES = ("a", "b", "c")
+ENGINES = {f"e{n}": EngineSeen(ZONES[n % 3]) for n in range(12)}
+LISTS = 3  # so many generations of the list there are in a run
+
+
+class Overheard(World):
+    """Keeps a digest of every datagram: when it was sent, by whom, to whom, and its bytes."""
+
+    def __init__(self, given: Callable[[int, str], Given], count: int, seed: int) -> None:
+        self.digest = blake2b(digest_size=8)
+        self.datagrams = 0
+        super().__init__(given, count, seed, dict(ENGINES), drift=0.005)
+
+    def start(self, number: int, build: str = "old") -> Process:
+        process = super().start(number, build)
+        assert process.node is not None
+        flush = process.node.flush
+
+        def overheard(now: int) -> list[tuple[int | None, bytes]]:
+            sent = flush(now)
+            for target, data in sent:
+                self.digest.update(f"{self.now} {number} {target} ".encode() + data)
+                self.datagrams += 1
+            return sent
+
+        process.node.flush = overheard  # type: ignore[method-assign]
+        return process
+
+
+def settings(count: int, number: int, build: str) -> Given:
+    return Given(
+        "f",
+        number,
+        count,
+        (0, 1, 2, 3, 4),
+        build=build,
+        zone=number % 3,
+        zones=ZONES,
+        rules=Rules(Allowed(0.1, 0.2), Allowed(0.2, 0.5)),
+        messages_per_s=150.0 if number % 5 else 1500.0,
+        versions=VersionPace(lease_us=1_200_000, check_us=4_000_000),
+    )
+
+
+def wish(world: World, number: int, change: Change) -> None:
+    world.node(number).wish(world.clock(number), change, 6, True)
+
+
+def listed(world: World, random: Random, generation: int) -> None:
+    """A bulletin that reaches most gateways: those that it doesn't learn from the others."""
+    for number in world.up():
+        if random.random() < 0.8:
+            lists = world.node(number).settings
+            assert lists is not None
+            entries = [(name, int(name[1:]) != generation, False) for name in ENGINES]
+            lists.lists.listed(world.clock(number), generation, True, entries)
+
+
+def lossy(share: float, origin: int, target: int, random: Random) -> list[float]:
+    if random.random() < share:
+        return []
+    return [random.random() * 0.2, 0.3] if random.random() < 0.1 else [random.random() * 0.05]
+
+
+def apart(zone: int, origin: int, target: int, random: Random) -> list[float]:
+    return [] if (origin % 3 == zone) != (target % 3 == zone) else [0.0]
+
+
+def played(count: int, seed: int) -> tuple[int, str]:
+    """A run with changes of all kinds, losses, a zone cut off, members killed, stopped and ended."""
+    random = Random(seed)
+    world = Overheard(partial(settings, count), count, seed)
+    world.run(4)
+    listed(world, random, 1)
+    for turn in range(3):
+        others = random.sample(range(5, count), 8)
+        proposer = world.node(others[0])
+        assert proposer.settings is not None
+        body = Body(caps={"report": turn + 5}, homes={str(n): n % count for n in range(40 * turn)})
+        digest = proposer.settings.member.put(body)
+        wish(world, others[0], WantVersion(proposer.state.versions.number + 1, digest, ""))
+        wish(world, others[1], WantSlot(world.node(others[1]).birth, "old"))
+        wish(world, others[2], WantDrain(f"e{turn}", "", 0, False))
+        match turn:
+            case 0:
+                world.fault = partial(lossy, 0.3)
+                wish(world, others[3], WantRelease("new", (100, 500, 1000), ""))
+            case 1:
+                world.fault = partial(apart, 1)
+                wish(world, others[3], WantTurn(HALTED, ""))
+            case 2:
+                world.fault = partial(lossy, 0.05)
+                wish(world, others[3], WantTurn(RUNNING, ""))
+        world.run(1.5)
+        leader = world.leader()
+        victim = others[4] if leader is None or turn != 1 else leader
+        world.kill(victim)
+        world.stop(others[5], 2.5)
+        leaves = world.node(others[6])
+        leaves.leave(world.clock(others[6]))
+        world.run(1)
+        world.kill(others[6])
+        world.busy = {(others[7], f"e{turn}"): 1}
+        world.run(9)  # long enough for suspicions to end
+        world.fault, world.busy = sound, {}
+        listed(world, random, turn + 2)
+        world.start(victim)
+        world.start(others[6], "new")
+        world.run(5)
+    return world.datagrams, world.digest.hexdigest()
+
+
+RECORDED = {
+    (14, 1): (10341, "ea5fdebd896e6534"),
+    (14, 2): (9761, "350c4498a55825b6"),
+    (14, 3): (9450, "c300780ab641308a"),
+    (40, 4): (28400, "7f688758d71e2f2f"),
+    (40, 5): (28324, "3501dac18f10ce31"),
+}
+
+
+@pytest.mark.parametrize(("count", "seed"), [(14, 1), (14, 2), (14, 3), (40, 4), (40, 5)])
+def test_the_same_datagrams_are_sent_as_when_all_members_were_looked_through(count: int, seed: int) -> None:
+    assert played(count, seed) == RECORDED[count, seed]
