Keep members by life in step: no scan of the whole fleet in a member's turn

ByLife keeps numbers by life, in order; Without leaves out ourselves and a target without a copy, so the same draws give the same members.

--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -11,9 +11,11 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
+from heapq import merge
 from random import Random
 
 from whintrail.fleet.wire import Ack, Leaving, Message, Nack, Note, Ping, PingAsk, Update
@@ -78,6 +80,51 @@
 Change = tuple[int, Life, Life]  # member, before, now
 
 
+class ByLife:
+    """Numbers of members by what is held of them, each list in order.
+
+    Kept in step, so that a turn in which nothing is due costs the same in a fleet of any size."""
+
+    def __init__(self, count: int) -> None:
+        self.numbers: dict[Life, list[int]] = {life: [] for life in Life}
+        self.numbers[Life.GONE] = list(range(count))
+
+    def move(self, number: int, before: Life, life: Life) -> None:
+        if life is not before:
+            numbers = self.numbers[before]
+            del numbers[bisect_left(numbers, number)]
+            insort(self.numbers[life], number)
+
+    def __getitem__(self, life: Life) -> Sequence[int]:
+        return self.numbers[life]
+
+
+class Without(Sequence[int]):
+    """Ordered numbers but for a few, without a copy of them."""
+
+    def __init__(self, numbers: Sequence[int], *left_out: int) -> None:
+        self.numbers = numbers
+        self.left_out = [
+            place
+            for number in sorted(set(left_out))
+            if (place := bisect_left(numbers, number)) < len(numbers) and numbers[place] == number
+        ]
+
+    def __len__(self) -> int:
+        return len(self.numbers) - len(self.left_out)
+
+    def __getitem__(self, place: int) -> int:  # type: ignore[override]
+        for gap in self.left_out:
+            place += place >= gap
+        return self.numbers[place]
+
+    def __contains__(self, number: object) -> bool:
+        if not isinstance(number, int):
+            return False
+        place = bisect_left(self.numbers, number)
+        return place < len(self.numbers) and self.numbers[place] == number and place not in self.left_out
+
+
 class Membership:
     """Give it what comes and `tick` it; take `out` (target, message) and `changes`."""
 
@@ -95,8 +142,10 @@
         self.me, self.birth, self.random, self.pace = me, birth, random, pace or Pace()
         self.note = note or (lambda: Note((0, 0, 0), 0, -1, 0))
         self.members = [Member(number) for number in range(count)]
+        self.by_life = ByLife(count)
         self.mine = self.members[me]
-        self.mine.life, self.mine.birth, self.mine.since = Life.ALIVE, birth, now
+        self._turn(self.mine, Life.ALIVE)
+        self.mine.birth, self.mine.since = birth, now
         self.mine.incarnation = max(1, incarnation & MOST_INCARNATION)
         self.out: list[tuple[int, Message]] = []
         self.changes: list[Change] = []
@@ -116,7 +165,17 @@
         return self.members[number].life is Life.ALIVE
 
     def count(self, life: Life) -> int:
-        return sum(member.life is life for member in self.members)
+        return len(self.by_life[life])
+
+    def others(self) -> Sequence[int]:
+        """Who is alive but for us, in order."""
+        return Without(self.by_life[Life.ALIVE], self.me)
+
+    def assume(self, number: int, birth: int, incarnation: int) -> None:
+        """As if it had long been known."""
+        member = self.members[number]
+        self._turn(member, Life.ALIVE)
+        member.birth, member.incarnation = birth, incarnation
 
     # --- In.
 
@@ -217,11 +276,17 @@
 
     # --- States.
 
+    def _turn(self, member: Member, life: Life) -> None:
+        """The one place at which a member's life changes."""
+        self.by_life.move(member.number, member.life, life)
+        member.life = life
+
     def _set(
         self, now: int, member: Member, life: Life, incarnation: int, birth: int, origin: int = -1
     ) -> None:
         before, fresh = member.life, birth != member.birth
-        member.life, member.incarnation, member.birth, member.since = life, incarnation, birth, now
+        self._turn(member, life)
+        member.incarnation, member.birth, member.since = incarnation, birth, now
         member.suspectors.clear()
         if life is Life.SUSPECT:
             member.suspectors.add(origin)
@@ -267,15 +332,13 @@
         if late > self.pace.paused_us:
             self.probes.clear()
             self._slower(self.pace.most_slow)
-            for member in self.members:
-                if member.life is Life.SUSPECT:
-                    member.suspect_until += late
+            for number in self.by_life[Life.SUSPECT]:
+                self.members[number].suspect_until += late
             self.next_at = now
         for seq, probe in list(self.probes.items()):
             self._overdue(now, seq, probe)
-        for member in self.members:
-            if member.life is not Life.SUSPECT:
-                continue
+        for number in tuple(self.by_life[Life.SUSPECT]):
+            member = self.members[number]
             if now >= member.suspect_until:
                 self._set(now, member, Life.GONE, member.incarnation, member.birth)
             elif now >= member.suspect_until - self.pace.asks * self.pace.ask_us:
@@ -288,8 +351,7 @@
             self._next(now)
         if now >= self.lost_at + self.pace.lost_every_us:
             self.lost_at = now
-            lost = [m.number for m in self.members if m.life is Life.GONE and m.number != self.me]
-            if lost:
+            if lost := self.by_life[Life.GONE]:  # never we ourselves
                 self._ping(target := self.random.choice(lost), Probe(target, now, now, origin=self.me))
 
     def _next(self, now: int) -> None:
@@ -298,9 +360,8 @@
             if self.members[target].life in (Life.ALIVE, Life.SUSPECT) or not self.members[target].birth:
                 break
         else:
-            self.order = [
-                m.number for m in self.members if m.number != self.me and m.life in (Life.ALIVE, Life.SUSPECT)
-            ]
+            there = merge(self.by_life[Life.ALIVE], self.by_life[Life.SUSPECT])
+            self.order = [number for number in there if number != self.me]
             self.random.shuffle(self.order)
             if not self.order:
                 return
@@ -323,8 +384,7 @@
             return
         if now >= probe.until and not probe.helped:
             probe.helped = True
-            able = [m.number for m in self.members if m.life is Life.ALIVE]
-            able = [number for number in able if number not in (self.me, probe.target)]
+            able = Without(self.by_life[Life.ALIVE], self.me, probe.target)
             for helper in self.random.sample(able, min(self.pace.helpers, len(able))):
                 self._say(helper, PingAsk(seq, probe.target))
             if self.pace.asks:  # once more ourselves: a lost datagram is likelier than a cut way
@@ -367,8 +427,8 @@
 
     def leave(self, fence: int) -> None:
         """We end: told to a few, who tell the rest."""
-        self.mine.life = Life.LEAVING
+        self._turn(self.mine, Life.LEAVING)
         self.news[self.me] = 0
-        able = [m.number for m in self.members if m.life is Life.ALIVE and m.number != self.me]
+        able = self.others()
         for target in self.random.sample(able, min(6, len(able))):
             self._say(target, Leaving(fence))
--- a/whintrail/versions/guide.py
+++ b/whintrail/versions/guide.py
@@ -3,7 +3,7 @@
 A new leader knows of no lease that another gave; it lets the time of one pass before anything is settled.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from whintrail.fleet.state import Drop, Enter, Settle, Versions
@@ -64,7 +64,7 @@
         self,
         now: int,
         versions: Versions,
-        alive: list[int],
+        alive: Sequence[int],
         count: int,
         birth_of: Callable[[int], int],
     ) -> Enter | Drop | Settle | None:
--- a/whintrail/versions/part.py
+++ b/whintrail/versions/part.py
@@ -1,6 +1,6 @@
 """The versions' part of a fleet's node: member, guide where this process leads, and lists. Sans-I/O."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from whintrail.fleet.council import Council
@@ -39,8 +39,8 @@
     def lead(self, now: int, council: Council) -> None:
         self.guide, self.council = Guide(now, self.pace), council
 
-    def alive(self) -> list[int]:
-        return [m.number for m in self.members.members if m.life is Life.ALIVE]
+    def alive(self) -> Sequence[int]:
+        return self.members.by_life[Life.ALIVE]
 
     def birth_of(self, number: int) -> int:
         return self.members.members[number].birth
@@ -87,13 +87,13 @@
         self.agreed = agreed
         member = self.member
         member.wanted(agreed)
-        others = [number for number in self.alive() if number != self.me] if self._needs(now) else []
         if member.parts.fetching:
-            for of, pull in member.pulls(now, others):
+            for of, pull in member.pulls(now, self.members.others()):
                 self.say(of, pull)
         if now >= self.note_at and self.lists.generation:
             self.note_at = now + NOTE_US
             note = ListNote(self.lists.generation, self.lists.digest)
+            others = self.members.others()
             for other in self.random.sample(others, min(NOTES, len(others))):
                 self.say(other, note)
         if target is not None and (ask := member.ask(now, agreed)) is not None:
@@ -102,10 +102,7 @@
             else:
                 self.say(target, ask)
         if self.guide is not None and self.council is not None and not self.council.undecided:
-            alive, count = self.alive(), len(self.members.members)
-            command = self.guide.tick(now, agreed, alive, count, self.birth_of)
+            count = len(self.members.members)
+            command = self.guide.tick(now, agreed, self.alive(), count, self.birth_of)
             if command is not None:
                 self.council.propose(now, command)
-
-    def _needs(self, now: int) -> bool:
-        return bool(self.member.parts.fetching) or now >= self.note_at
--- a/whintrail/versions/parts.py
+++ b/whintrail/versions/parts.py
@@ -64,7 +64,9 @@
         for fetch in self.fetching.values():
             if now - fetch.asked_at < ASK_US:
                 continue
-            able = [n for n in holders if (n, fetch.digest) not in self.distrusted]
+            able = holders
+            if self.distrusted:
+                able = [n for n in holders if (n, fetch.digest) not in self.distrusted]
             stuck = now - fetch.moved_at > 4 * ASK_US
             if able and (fetch.of not in able or stuck):
                 fetch.of = self.random.choice(able)
