Order a member's news by a heap, and keep suspectors without a set for each member

Cause: after a start every member is news, and Membership._news sorted all of it for each datagram sent (membership.py, _news); each Member had a set of its own (216 bytes, empty). At 4,000 members that is 0.86 MB a gateway, and the cost of a fleet's start grows with the square of its size.

News is a heap with outdated places passed over; a property test holds it against the sorted dictionary, and the recorded digests stay the same.

--- a/tests/test_simulated_growth.py
+++ b/tests/test_simulated_growth.py
@@ -10,9 +10,12 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from whintrail.fleet.budget import Allowed
 from whintrail.fleet.leader import EngineSeen, Rules
+from whintrail.fleet.membership import ByLife, Life, News, Without
 from whintrail.fleet.node import Given
 from whintrail.fleet.state import HALTED, RUNNING
 from whintrail.fleet.wire import Change, WantDrain, WantRelease, WantSlot, WantTurn, WantVersion
@@ -144,3 +147,44 @@
 @pytest.mark.parametrize(("count", "seed"), [(14, 1), (14, 2), (14, 3), (40, 4), (40, 5)])
 def test_the_same_datagrams_are_sent_as_when_all_members_were_looked_through(count: int, seed: int) -> None:
     assert played(count, seed) == RECORDED[count, seed]
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 30)), max_size=300), st.integers(2, 6))
+def test_news_are_told_in_the_order_of_a_sorted_dictionary(steps: list[tuple[bool, int]], most: int) -> None:
+    news, plain = News(), dict[int, int]()
+    for tells, number in steps:
+        if tells:
+            chosen = sorted(plain, key=plain.__getitem__)[:8]
+            assert news.least(8) == chosen
+            for told in [number, *chosen]:
+                news.tell(told, most)
+                if told in plain:
+                    plain[told] += 1
+                    if plain[told] >= most:
+                        del plain[told]
+        else:
+            news.put(number)
+            plain[number] = 0
+        assert len(news) == len(plain)
+    assert len(news.heap) <= 4 * len(news) + 600  # what is outdated doesn't pile up
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 9), st.sampled_from(Life)), max_size=60), st.sets(st.integers(0, 11))
+)
+def test_numbers_by_life_are_those_that_a_scan_finds(
+    steps: list[tuple[int, Life]], left_out: set[int]
+) -> None:
+    by_life, plain = ByLife(10), [Life.GONE] * 10
+    for number, life in steps:
+        by_life.move(number, plain[number], life)
+        plain[number] = life
+    for life in Life:
+        found = [number for number in range(10) if plain[number] is life]
+        assert by_life[life] == found
+        rest = [number for number in found if number not in left_out]
+        without = Without(by_life[life], *left_out)
+        assert (list(without), len(without)) == (rest, len(rest))
+        assert [number for number in range(12) if number in without] == rest
+        seed = len(steps)
+        assert Random(seed).sample(without, len(rest) // 2) == Random(seed).sample(rest, len(rest) // 2)
--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -13,9 +13,9 @@
 import math
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import IntEnum
-from heapq import merge
+from heapq import heapify, heappop, heappush, merge
 from random import Random
 
 from whintrail.fleet.wire import Ack, Leaving, Message, Nack, Note, Ping, PingAsk, Update
@@ -33,6 +33,9 @@
     GONE = 3
 
 
+LIVES = tuple(Life)  # by what travels
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """How fast and how patient. Microseconds and counts."""
@@ -60,7 +63,7 @@
     birth: int = 0  # 0: never heard of
     since: int = 0
     suspect_until: int = 0
-    suspectors: set[int] = field(default_factory=set)
+    suspectors: tuple[int, ...] = ()
     asked_at: int = 0  # directly, in the last periods of a suspicion
 
 
@@ -125,6 +128,59 @@
         return place < len(self.numbers) and self.numbers[place] == number and place not in self.left_out
 
 
+class News:
+    """Members of whom to tell, what was told least first; of equals, who has been news for longer.
+
+    A heap whose outdated places are passed over: after a start every member is news, and to order them all
+    for each datagram would cost a fleet the square of its size."""
+
+    def __init__(self) -> None:
+        self.told: dict[int, tuple[int, int]] = {}  # how often, and the order in which it became news
+        self.heap: list[tuple[int, int, int]] = []
+        self.became = 0
+
+    def __contains__(self, number: int) -> bool:
+        return number in self.told
+
+    def __len__(self) -> int:
+        return len(self.told)
+
+    def put(self, number: int) -> None:
+        """Something new of a member: it has been told to nobody."""
+        if (held := self.told.get(number)) is None:
+            self.became += 1
+            self._place(number, 0, self.became)
+        elif held[0]:
+            self._place(number, 0, held[1])
+
+    def _place(self, number: int, times: int, became: int) -> None:
+        self.told[number] = (times, became)
+        heappush(self.heap, (times, became, number))
+        if len(self.heap) > 4 * len(self.told) + 64:
+            self.heap = [(*held, number) for number, held in self.told.items()]
+            heapify(self.heap)
+
+    def least(self, most: int) -> list[int]:
+        """Of so many at most; they stay."""
+        found: list[tuple[int, int, int]] = []
+        while self.heap and len(found) < most:
+            first = heappop(self.heap)
+            if self.told.get(first[2]) == first[:2] and first not in found[-1:]:
+                found.append(first)
+        for place in found:
+            heappush(self.heap, place)
+        return [number for _, _, number in found]
+
+    def tell(self, number: int, most: int) -> None:
+        """Once more; after so many times it is news no more."""
+        if (held := self.told.get(number)) is None:
+            return
+        if held[0] + 1 >= most:
+            del self.told[number]
+        else:
+            self._place(number, held[0] + 1, held[1])
+
+
 class Membership:
     """Give it what comes and `tick` it; take `out` (target, message) and `changes`."""
 
@@ -149,7 +205,9 @@
         self.mine.incarnation = max(1, incarnation & MOST_INCARNATION)
         self.out: list[tuple[int, Message]] = []
         self.changes: list[Change] = []
-        self.news: dict[int, int] = {me: 0}  # members of whom to tell, and how often it was told
+        self.news = News()
+        self.news.put(me)
+        self.most_told = math.ceil(self.pace.retell * max(1.0, math.log10(count + 1)))
         self.probes: dict[int, Probe] = {}
         self.seq, self.slow = random.getrandbits(31), 0
         self.order = [number for number in range(count) if number != me]  # at first all, known or not
@@ -241,7 +299,8 @@
                 self._learn(now, origin, update)
 
     def _learn(self, now: int, origin: int, update: Update) -> None:
-        number, life, incarnation, birth = update.number, Life(update.state), update.incarnation, update.birth
+        number, life = update.number, LIVES[update.state]
+        incarnation, birth = update.incarnation, update.birth
         if birth == 0:
             return
         member = self.members[number]
@@ -249,7 +308,7 @@
             other = birth != self.birth and incarnation >= member.incarnation
             if other or (birth == self.birth and life > member.life and incarnation >= member.incarnation):
                 member.incarnation = min(incarnation + 1, MOST_INCARNATION)
-                self.news[number] = 0
+                self.news.put(number)
                 self.refuted += 1
                 if not other and self.pace.lifeguard:
                     self._slower()  # we were taken for dead: we may be the slow one
@@ -287,15 +346,15 @@
         before, fresh = member.life, birth != member.birth
         self._turn(member, life)
         member.incarnation, member.birth, member.since = incarnation, birth, now
-        member.suspectors.clear()
+        member.suspectors = ()
         if life is Life.SUSPECT:
-            member.suspectors.add(origin)
+            member.suspectors = (origin,)
             member.suspect_until = now + self._suspicion_us(1)
         if life is Life.GONE and before is not Life.GONE:
             self.removals += 1
         if life is not before or fresh:
             self.changes.append((member.number, before, life))
-        self.news[member.number] = 0
+        self.news.put(member.number)
 
     def _least_us(self) -> float:
         scale = max(1.0, math.log10(max(1, len(self.members))))
@@ -313,11 +372,11 @@
     def _confirm(self, now: int, member: Member, origin: int) -> None:
         if origin in member.suspectors or len(member.suspectors) > self.pace.confirmations:
             return
-        member.suspectors.add(origin)
+        member.suspectors += (origin,)
         member.suspect_until = min(
             member.suspect_until, member.since + self._suspicion_us(len(member.suspectors))
         )
-        self.news[member.number] = 0
+        self.news.put(member.number)
 
     def _slower(self, by: int = 1) -> None:
         if self.pace.lifeguard:
@@ -407,8 +466,9 @@
 
     def _news(self, target: int) -> tuple[Update, ...]:
         """What is told least so far; to a suspect first of all that it is one."""
-        most = math.ceil(self.pace.retell * max(1.0, math.log10(len(self.members) + 1)))
-        chosen = sorted(self.news, key=self.news.__getitem__)[:MOST_GOSSIP]
+        if not self.news and self.members[target].life is Life.ALIVE:
+            return ()
+        chosen = self.news.least(MOST_GOSSIP)
         if self.members[target].life is not Life.ALIVE and target not in chosen and target != self.me:
             chosen = [target, *chosen[: MOST_GOSSIP - 1]]
         updates = []
@@ -416,10 +476,7 @@
             member = self.members[number]
             if member.birth:
                 updates.append(Update(number, member.life, member.incarnation, member.birth))
-            if number in self.news:
-                self.news[number] += 1
-                if self.news[number] >= most:
-                    del self.news[number]
+            self.news.tell(number, self.most_told)
         return tuple(updates)
 
     def _say(self, target: int, message: Message) -> None:
@@ -428,7 +485,7 @@
     def leave(self, fence: int) -> None:
         """We end: told to a few, who tell the rest."""
         self._turn(self.mine, Life.LEAVING)
-        self.news[self.me] = 0
+        self.news.put(self.me)
         able = self.others()
         for target in self.random.sample(able, min(6, len(able))):
             self._say(target, Leaving(fence))
