--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -88,9 +88,10 @@
 
     Kept in step, so that a turn in which nothing is due costs the same in a fleet of any size."""
 
-    def __init__(self, count: int) -> None:
-        self.numbers: dict[Life, list[int]] = {life: [] for life in Life}
-        self.numbers[Life.GONE] = list(range(count))
+    def __init__(self, count: int, life: Life = Life.GONE) -> None:
+        """At first all are of one kind."""
+        self.numbers: dict[Life, list[int]] = {each: [] for each in Life}
+        self.numbers[life] = list(range(count))
 
     def move(self, number: int, before: Life, life: Life) -> None:
         if life is not before:
@@ -229,11 +230,11 @@
         """Who is alive but for us, in order."""
         return Without(self.by_life[Life.ALIVE], self.me)
 
-    def assume(self, number: int, birth: int, incarnation: int) -> None:
-        """As if it had long been known."""
-        member = self.members[number]
-        self._turn(member, Life.ALIVE)
-        member.birth, member.incarnation = birth, incarnation
+    def assume(self, known: Iterable[tuple[int, int]]) -> None:
+        """As if all had long been known: birth and incarnation of each, in the order of their numbers."""
+        for member, (birth, incarnation) in zip(self.members, known, strict=True):
+            member.life, member.birth, member.incarnation = Life.ALIVE, birth, incarnation
+        self.by_life = ByLife(len(self.members), Life.ALIVE)
 
     # --- In.
 
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -474,6 +474,8 @@
     def flush(self, now: int) -> list[tuple[int | None, bytes]]:
         """Datagrams to send now; None: to all."""
         waiting: list[tuple[int, int | None, Message]] = []
+        if not (self.queue or self.members.out or self.replica.out) and self.council is None:
+            return []  # most turns
         if self.council is not None:
             waiting += [(0, target, message) for target, message in self.council.out]
             self.council.out.clear()
--- a/whintrail/versions/member.py
+++ b/whintrail/versions/member.py
@@ -58,9 +58,14 @@
         return found
 
     def wanted(self, versions: Versions) -> None:
+        if versions.current is versions.next is None:
+            self.parts.fetching.clear()
+            return
         known = [v for v in (versions.current, versions.next, *versions.before[-1:]) if v is not None]
         for version in known:
             self.parts.want(version.digest, version.by)
+        if not self.parts.fetching and len(self.bodies) <= 64:
+            return
         digests = {v.digest for v in known}
         for key in [key for key in self.parts.fetching if key not in digests]:
             del self.parts.fetching[key]
