Play whole fleets in simulated time: whintrail scale simulate

Need: what members and the leader send and spend, and how long changes, removals, slots and newcomers take, at sizes that no machine here can run for real.

--- /dev/null
+++ b/whintrail/scale/simulate.py
@@ -0,0 +1,533 @@
+"""`whintrail scale simulate`: the real cores of a whole fleet in simulated time, one size after another.
+
+Each size begins as a fleet that has long been up: all know one another. The council is begun, then what a
+quiet second costs is counted, changes go through one after another and at rates a day of 64,000 brings,
+members are killed and come back, slots are asked for. Bytes are payload and 28 of IPv4 and UDP headers.
+Processor times are of the cores alone: no socket, no event loop.
+"""
+
+import multiprocessing
+import os
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from multiprocessing.connection import Connection, wait
+from pathlib import Path
+from random import Random
+
+import click
+
+from whintrail.fleet.budget import Allowed
+from whintrail.fleet.holder import Outcome
+from whintrail.fleet.leader import Rules
+from whintrail.fleet.membership import Life
+from whintrail.fleet.node import Given
+from whintrail.fleet.wire import DONE, WantSlot, WantVersion
+from whintrail.scale.results import Kind, Sample, sample, save, this_machine
+from whintrail.standins.simulated import Process, World
+from whintrail.versions.body import Body, canonical
+from whintrail.versions.member import VersionPace
+
+KIND: Kind = "simulated"
+HEADERS = 28  # bytes of IPv4 and UDP
+COUNCIL = (0, 1, 2, 3, 4)
+ZONES = tuple(f"z{n}" for n in range(19))
+MEAN_CHANGES_PER_S = 64_000 / 86_400
+POLL_S = 0.05
+SIZES = "50,100,200,400,800,1600,4000"
+
+# What a second from a start costs, for a checkout with any version of the cores.
+COST = """
+import gc, sys, time
+from whintrail.fleet.node import Given
+from whintrail.standins.simulated import World
+from whintrail.versions.member import VersionPace
+count, seed = int(sys.argv[1]), int(sys.argv[2])
+def given(number, build):
+    return Given("f", number, count, (0, 1, 2, 3, 4), versions=VersionPace(),
+                 messages_per_s=20_000.0, bytes_per_s=4e6)
+world = World(given, count, seed, drift=0.01)
+gc.freeze()
+world.run(2)
+began = time.process_time()
+world.run(2)
+print((time.process_time() - began) / 2)
+"""
+
+
+class BoundError(Exception):
+    """The run has used what it may; the text says what."""
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    gateways: int
+    seed: int
+    seconds: float  # of simulated time in the quiet part
+    cpu_s: float
+    memory_mb: int
+
+
+@dataclass(slots=True)
+class Found:
+    """Values by quantity, unit, role, day and note; and what could not be had."""
+
+    values: dict[tuple[str, str, str, str, str], list[float]] = field(default_factory=dict)
+    said: list[str] = field(default_factory=list)
+
+    def add(self, quantity: str, unit: str, value: float, **more: str) -> None:
+        key = quantity, unit, more.get("role", "gateway"), more.get("day", "steady"), more.get("note", "")
+        self.values.setdefault(key, []).append(value)
+
+
+class Timed:
+    """Counts the processor time of one node's core, as it is called by the world."""
+
+    def __init__(self, process: Process) -> None:
+        assert process.node is not None
+        self.node, self.spent = process.node, 0.0
+        for name in ("take", "tick", "flush"):
+            setattr(self.node, name, partial(self._call, getattr(self.node, name)))
+
+    def _call(self, what: Callable[..., object], *args: object) -> object:
+        began = time.process_time()
+        try:
+            return what(*args)
+        finally:
+            self.spent += time.process_time() - began
+
+    def end(self) -> None:
+        for name in ("take", "tick", "flush"):
+            delattr(self.node, name)
+
+
+def memory_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+class Bounded(World):
+    """Looks at its bounds while it is made and while it runs."""
+
+    def __init__(self, job: Job, given: Callable[[int, str], Given]) -> None:
+        self.job = job
+        super().__init__(given, job.gateways, job.seed, drift=0.01)
+
+    def look(self) -> None:
+        if time.process_time() > self.job.cpu_s:
+            raise BoundError(f"--cpu-seconds {self.job.cpu_s:g} used")
+        if memory_mb() > self.job.memory_mb:
+            raise BoundError(f"--memory-mb {self.job.memory_mb} used")
+
+    def start(self, number: int, build: str = "old") -> Process:
+        if number % 64 == 0:
+            self.look()
+        return super().start(number, build)
+
+    def go(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """As `run`, with the condition looked at each `POLL_S` of simulated time."""
+        end = self.now + int(seconds * 1e6)
+        while self.now < end:
+            self.run(min(POLL_S, (end - self.now) / 1e6))
+            self.look()
+            if until is not None and until():
+                return True
+        return until is None
+
+
+class Play:
+    """One size with one seed; `found` holds what was had when a bound ended it."""
+
+    def __init__(self, job: Job, found: Found, tell: Callable[[str], None]) -> None:
+        self.job, self.found, self.tell, self.random = job, found, tell, Random(job.seed)
+        self.count = job.gateways
+        began = time.process_time()
+        self.world = Bounded(job, self.given)
+        self.world.acquaint()
+        found.add("build_s", "s", time.process_time() - began)
+        self.changes = 0
+
+    def given(self, number: int, build: str) -> Given:
+        """Without the bound of messages a second: what would be sent is to be seen."""
+        zone = number % len(ZONES)
+        return Given(
+            "f",
+            number,
+            self.count,
+            COUNCIL,
+            build=build,
+            zone=zone,
+            zones=ZONES,
+            rules=Rules(Allowed(0.05, 0.1), Allowed(1.0, 1.0)),
+            versions=VersionPace(),
+            messages_per_s=1e6,
+            bytes_per_s=1e9,
+        )
+
+    def whole(self) -> None:
+        for name, part in (
+            ("start", self.start),
+            ("quiet", self.quiet),
+            ("changes", self.one_after_another),
+            ("slots", self.slots),
+            ("losses", self.losses),
+            ("mean", partial(self.rate, MEAN_CHANGES_PER_S, "0.74/s")),
+            ("ten times", partial(self.rate, 10 * MEAN_CHANGES_PER_S, "7.4/s")),
+        ):
+            self.tell(f"{self.count} gateways, seed {self.job.seed}: {name}")
+            part()
+
+    def lead(self) -> int:
+        leader = self.world.leader()
+        if leader is None:
+            self.world.go(20, lambda: self.world.leader() is not None)
+            leader = self.world.leader()
+        if leader is None:
+            raise BoundError("no leader within 20 s")
+        return leader
+
+    def start(self) -> None:
+        self.lead()
+        self.found.add("leader_s", "s", self.world.now / 1e6, role="leader")
+        self.world.go(4)
+
+    # --- A quiet fleet.
+
+    def quiet(self) -> None:
+        world, leader, seconds = self.world, self.lead(), self.job.seconds
+        others = [n for n in range(self.count) if n not in COUNCIL]
+        watched = {n: Timed(self._process(n)) for n in (leader, *self.random.sample(others, 5))}
+        before = list(self._traffic())
+        removals = sum(world.node(n).members.removals for n in world.up())
+        began = time.process_time()
+        world.go(seconds)
+        spent = time.process_time() - began
+        after = list(self._traffic())
+        for timed in watched.values():
+            timed.end()
+        rates = [
+            [(b - a) / seconds for a, b in zip(*pair, strict=True)]
+            for pair in zip(before, after, strict=True)
+        ]
+        members = [rates[n] for n in others]
+        for role, rows in (("gateway", members), ("leader", [rates[leader]])):
+            sent, sent_bytes, heard, heard_bytes = (
+                statistics.median(row[n] for row in rows) for n in range(4)
+            )
+            both = statistics.median(row[0] + row[2] for row in rows)
+            size = statistics.median(row[1] + row[3] + HEADERS * (row[0] + row[2]) for row in rows)
+            self.found.add("member_datagrams_per_s", "datagrams/s", both, role=role)
+            self.found.add("member_bytes_per_s", "bytes/s", size, role=role)
+            self.found.add("sent_per_s", "datagrams/s", sent, role=role)
+            self.found.add("heard_per_s", "datagrams/s", heard, role=role)
+            self.found.add("sent_bytes_per_s", "bytes/s", sent_bytes + HEADERS * sent, role=role)
+            self.found.add("heard_bytes_per_s", "bytes/s", heard_bytes + HEADERS * heard, role=role)
+        self.found.add("sim_cpu_s", "s", spent / seconds, note="after, a quiet fleet")
+        self.found.add("leader_cpu_share", "share", watched[leader].spent / seconds, role="leader")
+        for number, timed in watched.items():
+            if number != leader:
+                self.found.add("member_cpu_share", "share", timed.spent / seconds)
+        false = sum(world.node(n).members.removals for n in world.up()) - removals
+        self.found.add("false_removals", "count", false / (self.count * seconds / 3600))
+        self.found.add("memory_mb", "MB", memory_mb())
+
+    def _process(self, number: int) -> Process:
+        process = self.world.processes[number]
+        assert process is not None
+        return process
+
+    def _traffic(self) -> Iterator[tuple[float, ...]]:
+        world = self.world
+        yield from zip(world.copies, world.copied_bytes, world.heard, world.heard_bytes, strict=True)
+
+    # --- Changes.
+
+    def _propose(self, who: int) -> tuple[int, Body]:
+        """Its number, and what is in force once all act on it."""
+        self.changes += 1
+        body = canonical(Body(caps={"report": self.changes}))
+        node = self.world.node(who)
+        assert node.settings is not None
+        number = node.state.versions.number + 1
+        node.wish(self.world.clock(who), WantVersion(number, node.settings.member.put(body), ""), 20, True)
+        return number, body
+
+    def _acts(self, number: int, version: int) -> bool:
+        """Whether this gateway acts on a version at least so new, and on it alone, by a lease."""
+        settings = self.world.node(number).settings
+        assert settings is not None
+        rule = settings.member.acting.rule(self.world.clock(number))
+        later = rule.number > version
+        return rule.leased and (later or (rule.number == version and rule.phase is not rule.phase.ENTERING))
+
+    def one_after_another(self) -> None:
+        for _ in range(4):
+            world, began, lines = self.world, self.world.now, len(self.world.lines)
+            self.lead()
+            version, _ = self._propose(self.random.choice(world.up()))
+            left = set(world.up())
+
+            def everywhere(left: set[int] = left, version: int = version) -> bool:
+                left -= {number for number in left if self._acts(number, version)}
+                return not left
+
+            done = world.go(25, everywhere)
+            steps: dict[str, int] = {}
+            for at, _, what, more in world.lines[lines:]:
+                if more.get("version") == version:
+                    steps.setdefault(what, at)
+            if done:
+                note = "one after another"
+                self.found.add("version_in_force_s", "s", (world.now - began) / 1e6, note=note)
+                marks = [began, *steps.values(), world.now]
+                names = ("proposed", "entered", "settled", "held_by_all")
+                for name, a, b in zip(names, marks, marks[1:], strict=False):
+                    self.found.add(f"version_{name}_s", "s", (b - a) / 1e6, note=note)
+            else:
+                dropped = [str(more) for _, _, what, more in world.lines[lines:] if what == "version dropped"]
+                why = dropped[0] if dropped else f"{len(left)} don't act on it, {sorted(steps)}"
+                self.found.said.append(f"{self.count}: change {version} not in force within 25 s: {why}")
+            world.lines.clear()
+            world.go(2)
+
+    def rate(self, per_s: float, note: str, seconds: float = 20.0) -> None:
+        """Changes come at a rate; each is proposed as soon as the one before it has settled: nobody could do
+        better, as a version is made on the one before. Time counts from its coming."""
+        world, waiting, began = self.world, deque[int](), self.world.now
+        under: list[tuple[int, int, set[int]]] = []  # came, version, who doesn't act on it yet
+        took: list[float] = []
+        came, settled = 0, self._version()
+        while world.now - began < seconds * 1e6:
+            while came < (world.now - began) / 1e6 * per_s:
+                waiting.append(began + int(came / per_s * 1e6))
+                came += 1
+            who = self.lead()
+            if waiting and self._free(who) and (not under or under[-1][1] <= self._version()):
+                version, _ = self._propose(who)
+                under.append((waiting.popleft(), version, set(world.up())))
+            world.go(POLL_S)
+            for each in list(under):
+                each[2].difference_update({number for number in each[2] if self._acts(number, each[1])})
+                if not each[2]:
+                    under.remove(each)
+                    took.append((world.now - each[0]) / 1e6)
+        for value in took:
+            self.found.add(
+                "version_in_force_s", "s", value, note=f"at {note}, of those done in {seconds:g} s"
+            )
+        self.found.add("versions_per_s", "count", (self._version() - settled) / seconds, note=f"at {note}")
+        self.found.add(
+            "versions_waiting", "count", float(came - len(took)), note=f"at {note} for {seconds:g} s"
+        )
+        world.go(5)
+
+    def _version(self) -> int:
+        return max(self.world.node(n).state.versions.number for n in COUNCIL if self.world.processes[n])
+
+    def _free(self, who: int) -> bool:
+        node = self.world.node(who)
+        return node.state.versions.next is None and not node.holder.wishes
+
+    # --- Slots.
+
+    def slots(self) -> None:
+        world, rest = self.world, [n for n in range(self.count) if n not in COUNCIL]
+        for who in self.random.sample(rest, 3):
+            self.lead()
+            node, began = world.node(who), world.now
+            outcomes: list[Outcome] = []
+            node.wish(world.clock(who), WantSlot(node.birth, "old"), 30, True)
+
+            def answered(who: int = who, outcomes: list[Outcome] = outcomes) -> bool:
+                outcomes += world.node(who).outcomes()
+                return bool(outcomes)
+
+            world.go(31, answered)
+            if outcomes and outcomes[0].word == DONE:
+                self.found.add("slot_s", "s", (world.now - began) / 1e6)
+            else:
+                text = outcomes[0].text if outcomes else "no answer"
+                self.found.said.append(f"{self.count}: no slot within 30 s: {text}")
+            world.go(4)  # it is given back unused
+        world.go(12)  # nobody wants reports any more
+
+    # --- Losses and newcomers.
+
+    def losses(self) -> None:
+        world, rest = self.world, [n for n in range(self.count) if n not in COUNCIL]
+        victims = self.random.sample(rest, 3)
+        began = world.now
+        for victim in victims:
+            world.kill(victim)
+        left, known = set(victims), 0.9 * (self.count - len(victims))
+
+        def suspects() -> bool:
+            for victim in sorted(left):
+                lives = [world.node(n).members.members[victim].life for n in world.up()]
+                if sum(life is Life.GONE for life in lives) >= known:
+                    left.discard(victim)
+                    self.found.add("removal_known_s", "s", (world.now - began) / 1e6, day="losses")
+            return not left
+
+        if not world.go(60, suspects):
+            self.found.said.append(f"{self.count}: {len(left)} of 3 losses not known to nine in ten in 60 s")
+        for victim in victims:
+            self.lead()
+            at = world.now
+            world.start(victim)
+            heard = world.heard[victim]
+
+            def held(victim: int = victim) -> bool:
+                return world.node(victim).replica.position >= world.node(self.lead()).replica.position
+
+            if world.go(30, held):
+                note = f"state of {len(world.state().encode())} bytes"
+                self.found.add("state_newcomer_s", "s", (world.now - at) / 1e6, day="losses")
+                count = float(world.heard[victim] - heard)
+                self.found.add("state_newcomer_datagrams", "count", count, day="losses", note=note)
+            else:
+                self.found.said.append(f"{self.count}: a newcomer holds no state after 30 s")
+
+            def leased(victim: int = victim) -> bool:
+                return self._acts(victim, world.node(self.lead()).state.versions.number)
+
+            if world.go(30, leased):
+                self.found.add("newcomer_leased_s", "s", (world.now - at) / 1e6, day="losses")
+
+
+def played(job: Job, pipe: Connection) -> None:
+    import gc
+
+    gc.disable()  # millions of members, and nothing in a circle that matters in a run so short
+    found = Found()
+    try:
+        Play(job, found, lambda text: pipe.send(text)).whole()
+    except BoundError as error:
+        found.said.append(f"{job.gateways} gateways, seed {job.seed}, ended early: {error}")
+    except KeyboardInterrupt:
+        return
+    pipe.send(found)
+
+
+def spread(jobs: list[Job], at_once: int) -> Iterator[tuple[Job, Found]]:
+    """Each in a process of its own, which ends with this one whatever happens."""
+    waiting, running = deque(jobs), dict[Connection, tuple[Job, multiprocessing.process.BaseProcess]]()
+    context = multiprocessing.get_context("spawn")
+    try:
+        while waiting or running:
+            while waiting and len(running) < at_once:
+                job = waiting.popleft()
+                here, there = context.Pipe(duplex=False)
+                process = context.Process(target=played, args=(job, there), daemon=True)
+                process.start()
+                there.close()
+                running[here] = job, process
+            for pipe in wait(list(running)):
+                assert isinstance(pipe, Connection)
+                job, process = running[pipe]
+                try:
+                    got = pipe.recv()
+                except EOFError:
+                    got = Found(said=[f"{job.gateways} gateways, seed {job.seed}: the process ended"])
+                if isinstance(got, str):
+                    click.echo(got, err=True)
+                    continue
+                yield job, got
+                process.join(10)
+                del running[pipe]
+    finally:
+        for _, process in running.values():
+            process.terminate()
+            process.join(5)
+
+
+def costs(tree: Path, sizes: list[int], seeds: int, note: str) -> Iterator[Sample]:
+    """Processor seconds a simulated second from a start, by the cores of a checkout."""
+    for count in sizes:
+        values = []
+        for seed in range(1, seeds + 1):
+            click.echo(f"{count} gateways, seed {seed}: {note}", err=True)
+            asked = [sys.executable, "-c", COST, str(count), str(seed)]
+            environment = {**os.environ, "PYTHONPATH": str(tree)}
+            done = subprocess.run(
+                asked, cwd=tree, env=environment, capture_output=True, text=True, check=True
+            )
+            values.append(float(done.stdout))
+        yield replace_note(sample("sim_cpu_s", "s", (count, 0), values, KIND), note=note)
+
+
+def replace_note(taken: Sample, **more: str) -> Sample:
+    import msgspec
+
+    return msgspec.structs.replace(taken, **more)
+
+
+def numbers(context: click.Context, parameter: click.Parameter, text: str) -> list[int]:
+    try:
+        found = [int(part) for part in text.split(",") if part]
+    except ValueError as error:
+        raise click.BadParameter(f"{text}: numbers with commas between them") from error
+    if not all(10 <= number <= 65_535 for number in found):  # below, there is nobody outside the council
+        raise click.BadParameter("from 10 to 65535")
+    return found
+
+
+@click.command()
+@click.option("--gateways", default=SIZES, show_default=True, callback=numbers, help="sizes")
+@click.option("--seconds", default=15.0, show_default=True, help="of simulated time, of a quiet fleet")
+@click.option("--seeds", default=2, show_default=True)
+@click.option("--jobs", default=2, show_default=True, help="processes at once")
+@click.option("--cpu-seconds", default=900.0, show_default=True, help="of one process, at most")
+@click.option("--memory-mb", default=6000, show_default=True, help="of one process, at most")
+@click.option("--before", type=click.Path(path_type=Path, file_okay=False), help="a checkout to be compared")
+@click.option("--cost-sizes", default="50,200,800", show_default=True, callback=numbers)
+@click.option("--to", type=click.Path(path_type=Path), default=Path("docs/capacity/simulated.json"))
+def simulate(
+    gateways: list[int],
+    seconds: float,
+    seeds: int,
+    jobs: int,
+    cpu_seconds: float,
+    memory_mb: int,
+    before: Path | None,
+    cost_sizes: list[int],
+    to: Path,
+) -> None:
+    """Whole fleets in simulated time: what members and the leader send, and how long changes take."""
+    began, machine = time.time(), this_machine()
+    samples: list[Sample] = []
+    said: list[str] = []
+    if before is not None:
+        samples += costs(before, cost_sizes, 3, "before, from a start")
+        samples += costs(Path(__file__).parents[2], cost_sizes, 3, "after, from a start")
+    found: dict[int, Found] = {}
+
+    def write() -> None:
+        taken = list(samples)
+        for count, one in sorted(found.items()):
+            for (quantity, unit, role, day, note), values in one.values.items():
+                made = sample(quantity, unit, (count, 0), values, KIND)
+                taken.append(replace_note(made, role=role, day=day, note=note))
+        command = "whintrail scale " + " ".join(["simulate", *sys.argv[3:]])
+        save(to, command, began, machine, taken, "; ".join(said))
+
+    todo = [
+        Job(count, seed, seconds, cpu_seconds, memory_mb)
+        for count in gateways
+        for seed in range(1, seeds + 1)
+    ]
+    for job, got in spread(todo, jobs):
+        into = found.setdefault(job.gateways, Found())
+        for key, values in got.values.items():
+            into.values.setdefault(key, []).extend(values)
+        for line in got.said:
+            said.append(line)
+            click.echo(line, err=True)
+        write()
+    write()
+    click.echo(f"{to}: {len(found)} sizes", err=True)
