Simulate the usual bounds of datagrams too, and slots from a quiet fleet

Need: at which size the leader's messages_per_s leaves members without leases. Part 'bounds' plays 8 s with the bounds of a file that says nothing; slots are asked for 14 s after the last report was wanted.

--- a/whintrail/scale/simulate.py
+++ b/whintrail/scale/simulate.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from multiprocessing.connection import Connection, wait
+from multiprocessing.context import SpawnProcess
 from pathlib import Path
 from random import Random
 
@@ -173,6 +174,7 @@
         for name, part in (
             ("start", self.start),
             ("quiet", self.quiet),
+            ("bounds", self.bounds),
             ("changes", self.one_after_another),
             ("slots", self.slots),
             ("losses", self.losses),
@@ -245,6 +247,32 @@
         world = self.world
         yield from zip(world.copies, world.copied_bytes, world.heard, world.heard_bytes, strict=True)
 
+    def bounds(self) -> None:
+        """With the bounds of messages and bytes a second that a gateway has where the file says nothing."""
+        world, usual = self.world, Given("f", 0, 1, (0,))
+        nodes = [world.node(n) for n in world.up()]
+        for node in nodes:
+            spending = node.spending
+            spending.messages_per_s, spending.bytes_per_s = usual.messages_per_s, usual.bytes_per_s
+        world.go(3)
+        before = [node.counts["held_back"] for node in nodes]
+        sent = [node.counts["sent"] for node in nodes]
+        leader, unleased, looks = self.lead(), 0, 20
+        for _ in range(looks):
+            world.go(5 / looks)
+            unleased += sum(not self._acts(n, 0) for n in world.up())
+        held = [node.counts["held_back"] - b for node, b in zip(nodes, before, strict=True)]
+        sent = [node.counts["sent"] - b for node, b in zip(nodes, sent, strict=True)]
+        note = f"bounds of {usual.messages_per_s:g} datagrams and {usual.bytes_per_s:g} bytes a second"
+        share = held[leader] / max(1, held[leader] + sent[leader])
+        self.found.add("held_back_share", "share", share, role="leader", day="bounds", note=note)
+        self.found.add("unleased_share", "share", unleased / looks / len(nodes), day="bounds", note=note)
+        leads = float(world.leader() == leader)
+        self.found.add("leader_kept", "share", leads, role="leader", day="bounds", note=note)
+        for node in nodes:
+            node.spending.messages_per_s, node.spending.bytes_per_s = 1e6, 1e9
+        world.go(4)
+
     # --- Changes.
 
     def _propose(self, who: int) -> tuple[int, Body]:
@@ -285,7 +313,7 @@
                 note = "one after another"
                 self.found.add("version_in_force_s", "s", (world.now - began) / 1e6, note=note)
                 marks = [began, *steps.values(), world.now]
-                names = ("proposed", "entered", "settled", "held_by_all")
+                names = ("proposed", "checked", "entering", "told")
                 for name, a, b in zip(names, marks, marks[1:], strict=False):
                     self.found.add(f"version_{name}_s", "s", (b - a) / 1e6, note=note)
             else:
@@ -338,6 +366,7 @@
     def slots(self) -> None:
         world, rest = self.world, [n for n in range(self.count) if n not in COUNCIL]
         for who in self.random.sample(rest, 3):
+            world.go(14)  # nobody wants reports any more: the leader knows of nobody that it serves
             self.lead()
             node, began = world.node(who), world.now
             outcomes: list[Outcome] = []
@@ -354,7 +383,6 @@
                 text = outcomes[0].text if outcomes else "no answer"
                 self.found.said.append(f"{self.count}: no slot within 30 s: {text}")
             world.go(4)  # it is given back unused
-        world.go(12)  # nobody wants reports any more
 
     # --- Losses and newcomers.
 
@@ -398,6 +426,8 @@
 
             if world.go(30, leased):
                 self.found.add("newcomer_leased_s", "s", (world.now - at) / 1e6, day="losses")
+            else:
+                self.found.said.append(f"{self.count}: a newcomer has no lease after 30 s")
 
 
 def played(job: Job, pipe: Connection) -> None:
@@ -416,7 +446,7 @@
 
 def spread(jobs: list[Job], at_once: int) -> Iterator[tuple[Job, Found]]:
     """Each in a process of its own, which ends with this one whatever happens."""
-    waiting, running = deque(jobs), dict[Connection, tuple[Job, multiprocessing.process.BaseProcess]]()
+    waiting, running = deque(jobs), dict[Connection, tuple[Job, SpawnProcess]]()
     context = multiprocessing.get_context("spawn")
     try:
         while waiting or running:
