Refuse at the start, by name, a class whose name would break an engine's line

Noticed: a class name with a space makes `do ID class=night run,wait=5 N` one word too many, one with a comma ends its field, a line end ends the line, and a query of such a class voids the link it goes on.

Looked into, with a table of names through the engine's line and through the statement's comment, and by drawn texts: what breaks either is a space, a comma, `*/`, characters that don't print (line ends, NUL, odd spaces, lone surrogates), an empty name and one that is no text. Excluded: an equals sign, quotes, `/*`, other scripts: a field's name holds no `=`, so its value begins at the first; they go through unchanged and are taken.

Lines at fault: enginelines._fields joins whatever it is given. Service now refuses the settings with status 1 in one line that names the class.

--- a/whintrail/gateway/enginelines.py
+++ b/whintrail/gateway/enginelines.py
@@ -49,6 +49,18 @@
     return ",".join(f"{name}={value}" for name, value in values.items()) or "-"
 
 
+def check_class_name(name: object) -> None:
+    """ValueError where a class's name can't stand as a value of a field: in the line to an engine, which a
+    space, a comma or a line end would break, and in the comment ahead of a statement, which `*/` would end.
+
+    An equals sign or a quote breaks neither: a field's name, which holds none, ends at the first.
+    """
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"class {name!r}: its name is no text")
+    if not name.isprintable() or any(sign in name for sign in (" ", ",", "*/")):
+        raise ValueError(f"class {name!r}: its name can't be sent on, as a field of a request")
+
+
 def do(id: bytes, fields: Mapping[str, str], statement: bytes) -> bytes:
     return b"do %b %b %d\r\n%b\r\n" % (id, _fields(fields).encode(), len(statement), statement)
 
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -15,6 +15,7 @@
 from whintrail.gateway.clock import Clock
 from whintrail.gateway.connection import address
 from whintrail.gateway.counters import Counters
+from whintrail.gateway.enginelines import check_class_name
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.links import Links
 from whintrail.gateway.log import Log, say
@@ -78,6 +79,8 @@
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             if not settings.classes:  # it would fail every query, one by one
                 raise ValueError("settings without Classes")
+            for cls in settings.classes:
+                check_class_name(cls.name)
             self.zones = tuple(str(zone) for zone in get(config["settings"], "Zones", []))
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
