See a reset that stands behind unread bytes, of a client as of an engine

Looked into: a client that resets behind pipelined bytes, and an engine that sends half a line on a resting connection and closes it with our request unread, each while no task has its turn.

Lines at fault: Connection.ended read one byte ahead, found one, and asked tcp_info only for CLOSE_WAIT; after a reset the state is CLOSE, the unread bytes still come first, and no end ever stands behind them. So an attempt could begin for a client that had left, was not seen to have left behind a full buffer until its query was over, and a request was put on a dead connection, where it counts as reset: may have run, so lost if it runs only once. Excluded: an end by FIN (seen before), a reset with nothing unread (an error of the read).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -230,6 +231,38 @@
     play(story)
 
 
+def reset(sock: socket.socket) -> None:
+    """Close as a client does that has not read all: the other side is told of a reset, and of no end."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def test_a_reset_that_hides_behind_unread_bytes_is_asked_for_before_an_attempt() -> None:
+    async def story(door: Door) -> None:
+        sock, _, _ = await door.started()
+        sock.sendall(Client.simple(query()))
+        await door.until(lambda: door.heard(Asked))
+        (asked,) = door.heard(Asked)
+        sock.sendall(Client.simple(query()))  # these bytes come first in the kernel
+        reset(sock)
+        time.sleep(0.02)  # no task has its turn
+        assert asked.client.gone(asked) and asked.left
+
+    play(story)
+
+
+def test_a_reset_behind_a_buffer_that_nobody_reads_is_seen() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query()) + b"x" * 100_000)
+        await door.until(lambda: door.heard(Asked) and session.connection.buffer.full)
+        reset(sock)
+        await door.until(lambda: door.heard(Gone))
+
+    play(story, query_bytes=4096, watch_s=0.02)
+
+
 def test_a_cancel_request_that_overtakes_its_query_cancels_it() -> None:
     async def story(door: Door) -> None:
         sock, process, secret = await door.started()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -96,6 +96,24 @@
     play(story)
 
 
+@pytest.mark.parametrize("how", ["reset", "end"])
+def test_half_a_line_does_not_hide_that_an_idle_link_has_ended(how: str) -> None:
+    async def story(world: World) -> None:
+        world.answer(await world.send())
+        await asyncio.sleep(0.05)
+        world.accepted[0].sendall(b"0000000000000001 serv")  # in the very moment of its close
+        if how == "reset":
+            world.accepted[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        world.accepted[0].close()
+        time.sleep(0.05)
+        world.answer(await world.send())
+        await asyncio.sleep(0.05)
+        assert len(world.accepted) == 2
+        assert world.ends() == [api.Outcome.ERROR, api.Outcome.ERROR]
+
+    play(story)
+
+
 def test_a_link_quiet_while_a_request_is_open_takes_no_other() -> None:
     async def story(world: World) -> None:
         await world.send()
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -10,7 +10,9 @@
 from whintrail.gateway.buffer import Buffer
 
 LAST_DATA = struct.Struct("=52xI")  # in Linux's tcp_info: milliseconds since data last came in
-CLOSE_WAIT = 8  # the first byte of tcp_info: the other side has closed, whatever of it is still unread
+# The first byte of tcp_info where the other side has reset or closed, whatever of it is still unread: TCP_CLOSE
+# and TCP_CLOSE_WAIT of Linux's tcp_states.h.
+ENDED = b"\x07\x08"
 UNTOUCHED = 0xFF  # no message of a client or an engine begins with it
 
 
@@ -131,7 +133,8 @@
             return False
 
     def ended(self) -> bool:
-        """Whether the other side has ended the connection, also where bytes that nobody has read hide it."""
+        """Whether the other side has ended the connection, also where bytes that nobody has read hide it: they
+        come first, and a client that leaves with some of ours unread resets, after which no end is waiting."""
         try:
             if not self.sock.recv(1, socket.MSG_PEEK):
                 return True
@@ -140,7 +143,7 @@
             return False
         except OSError:
             return True
-        return info[:1] == bytes([CLOSE_WAIT])
+        return bool(info) and info[0] in ENDED
 
     def finish(self) -> None:
         """No more is written: the other side sees the end after the last byte."""
