Put nothing behind half an answer that may never end; links' tests on a clock of their own

Looked into: a request sent while half a line stands on the same connection.

Lines at fault: Link.may_carry asked whether the connection had ended and whether the engine reads, not whether an answer stands half read. Now an idle link with half a line retires, since nothing is due on it; one with requests open takes no more once the half answer is a quarter of its time old (answers may come in pieces).

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -32,12 +32,22 @@
         return self.closed
 
 
+class Ahead(Clock):
+    """A clock that a test may set ahead: what a machine takes for a step then counts for nothing."""
+
+    by_us = 0
+
+    def now_us(self) -> int:
+        return super().now_us() + self.by_us
+
+
 class World:
     """Links to one engine, whose side of each connection is in `accepted`."""
 
     def __init__(self, **limits: Any) -> None:
         self.limits = replace(Limits.read({"settings": {}}), **limits)
-        self.inbox, self.counters = Inbox(Clock()), Counters()
+        self.clock = Ahead()
+        self.inbox, self.counters = Inbox(self.clock), Counters()
         log = Log("test", 5.0, 1.0)
         self.links = Links(self.limits, self.inbox, self.counters, log, None, False)
         self.sock = listener()
@@ -64,6 +74,15 @@
     def answer(self, attempt: Attempt) -> None:
         self.accepted[-1].sendall(attempt.query.statement.call + b" crashed - 0\r\n\r\n")
 
+    async def until(self, what: Callable[[], Any]) -> None:
+        async with asyncio.timeout(5):
+            while not what():
+                await asyncio.sleep(0.005)
+
+    def half(self) -> bool:
+        """Whether half an answer has been read."""
+        return any(link.partial_us is not None for links in self.links.links.values() for link in links)
+
     def ends(self) -> list[api.Outcome]:
         return [item.outcome for _, item in self.inbox.queue if isinstance(item, Ended)]
 
@@ -119,22 +138,22 @@
         await world.send()
         await world.send()
         assert len(world.accepted) == 1
-        await asyncio.sleep(0.3)
+        world.clock.by_us += 6_000_000
+        await world.until(lambda: world.counters["links", "retired"])
         await world.send()
         assert len(world.accepted) == 2 and world.counters["links", "retired"] == 1
 
-    play(story, quiet_link_us=50_000, watch_s=0.02)
+    play(story, quiet_link_us=5_000_000, watch_s=0.02)
 
 
 def test_a_link_that_was_quiet_is_closed_once_its_request_is_given_up() -> None:
     async def story(world: World) -> None:
         attempt = await world.send()
-        await asyncio.sleep(0.1)
+        world.clock.by_us += 6_000_000
         world.links.undo(attempt)
-        await asyncio.sleep(0.1)
-        assert not world.links.links
+        await world.until(lambda: not world.links.links)
 
-    play(story, quiet_link_us=50_000, watch_s=0.02)
+    play(story, quiet_link_us=5_000_000, watch_s=0.02)
 
 
 def test_a_probe_without_an_answer_is_followed_by_one_on_a_new_link() -> None:
@@ -156,12 +175,41 @@
     async def story(world: World) -> None:
         first, _ = await world.send(), await world.send()
         world.accepted[0].sendall(first.query.statement.call + b" served total=1 100\r\nhalf")
-        await asyncio.sleep(0.05)
+        await world.until(world.half)
+        await asyncio.sleep(0.05)  # some looks
         assert not world.ends()
-        await asyncio.sleep(0.3)
+        world.clock.by_us += 6_000_000
+        await world.until(world.ends)
         assert world.ends() == [api.Outcome.RESET, api.Outcome.RESET]
 
-    play(story, partial_answer_us=100_000, watch_s=0.02)
+    play(story, partial_answer_us=5_000_000, watch_s=0.02)
+
+
+def test_a_request_is_not_put_behind_half_a_line_on_an_idle_link() -> None:
+    async def story(world: World) -> None:
+        world.answer(await world.send())
+        await world.until(world.ends)
+        world.accepted[0].sendall(b"0000000000000001 serv")  # of an answer that nobody awaits; it never ends
+        await world.until(world.half)
+        world.answer(await world.send())
+        await world.until(lambda: len(world.ends()) == 2)
+        assert len(world.accepted) == 2 and world.counters["links", "retired"] == 1
+        assert world.ends() == [api.Outcome.ERROR, api.Outcome.ERROR]
+
+    play(story, partial_answer_us=5_000_000)
+
+
+@pytest.mark.parametrize(("passed_us", "links"), [(0, 1), (3_000_000, 2)])
+def test_nothing_is_put_behind_an_answer_that_does_not_end(passed_us: int, links: int) -> None:
+    async def story(world: World) -> None:
+        attempt = await world.send()
+        world.accepted[0].sendall(attempt.query.statement.call + b" served total=1 6\r\na\t")
+        await world.until(world.half)
+        world.clock.by_us += passed_us
+        await world.send()
+        assert len(world.accepted) == links and not world.ends()
+
+    play(story, partial_answer_us=10_000_000)  # the link itself ends long after
 
 
 def test_what_may_not_be_repeated_shares_no_link_while_descriptors_allow() -> None:
--- a/whintrail/gateway/connection.py
+++ b/whintrail/gateway/connection.py
@@ -10,8 +10,8 @@
 from whintrail.gateway.buffer import Buffer
 
 LAST_DATA = struct.Struct("=52xI")  # in Linux's tcp_info: milliseconds since data last came in
-# The first byte of tcp_info where the other side has reset or closed, whatever of it is still unread: TCP_CLOSE
-# and TCP_CLOSE_WAIT of Linux's tcp_states.h.
+# The first byte of tcp_info where the other side has reset or closed, whatever of it is still unread:
+# TCP_CLOSE and TCP_CLOSE_WAIT of Linux's tcp_states.h.
 ENDED = b"\x07\x08"
 UNTOUCHED = 0xFF  # no message of a client or an engine begins with it
 
@@ -133,8 +133,9 @@
             return False
 
     def ended(self) -> bool:
-        """Whether the other side has ended the connection, also where bytes that nobody has read hide it: they
-        come first, and a client that leaves with some of ours unread resets, after which no end is waiting."""
+        """Whether the other side has ended the connection, also where bytes that nobody has read hide it.
+
+        They come first, and one that closes with some of ours unread resets, after which no end waits."""
         try:
             if not self.sock.recv(1, socket.MSG_PEEK):
                 return True
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -68,6 +68,8 @@
                 self.retire()  # reset while idle: what is put on it would be lost, and may not be repeated
         elif self.alone and not share:
             return False
+        if self.stuck():
+            return False
         if self.closing or len(self.carried) >= self.limits.streams or self in attempt.query.used:
             return False
         # What is put behind bytes that the engine does not read would go out whenever it reads on: after a
@@ -75,6 +77,17 @@
         blocked = self.connection is not None and self.connection.blocked_since is not None
         return not blocked and attempt.query.statement.call not in self.carried
 
+    def stuck(self) -> bool:
+        """Whether an answer stands half read that may never end: what is put on the link meanwhile ends with
+        it, as what may have run. Where nothing is open none is due, so the first half line says so; else
+        one that comes in pieces has a quarter of the time in which it must be whole."""
+        if self.partial_us is None:
+            return False
+        if not self.busy:
+            self.retire()
+            return True
+        return self.pool.inbox.clock.now_us() - self.partial_us > self.limits.partial_answer_us // 4
+
     # --- Out.
 
     def send(self, attempt: Attempt) -> None:
