Take a whole list whose number leaves out some: it needs none of those before it

Looked into: which lines of the bulletin make the watch ask anew for good. Bulletin.take_line asked anew on every number that leaves some out, a whole list (`reset`) too; a bulletin that tells a late watch the whole list rather than all events since would be asked for the missing ones again and again, and no drain be heard of.

--- a/whintrail/gateway/bulletin.py
+++ b/whintrail/gateway/bulletin.py
@@ -120,7 +120,9 @@
             number = data.get("no")
             if not isinstance(number, int):
                 raise BulletinError("an event without a number")
-            if number > self.number + 1:
+            roster = data.get("roster")
+            whole = isinstance(roster, dict) and roster.get("reset") is True
+            if number > self.number + 1 and not whole:  # a whole list needs none of those before it
                 return False
             self._event(data)
         except (orjson.JSONDecodeError, BulletinError) as error:
