Read first what comes in the very moment in which the time for a query is over

Lines at fault: Session.overdue looked at the time alone, so the client was told that no query came, or got an end without a word, though its last byte was written in time to a connection that stood. Excluded: idle sessions (Session.part looks already).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -199,6 +199,32 @@
     play(story)
 
 
+def test_a_first_query_in_the_moment_in_which_its_time_is_over_is_taken() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query()))
+        time.sleep(0.02)  # in the kernel; no task has had its turn
+        session.due = door.sessions.loop.time() - 0.01
+        assert session.overdue(door.sessions.loop.time()) is None
+        await door.until(lambda: door.heard(Asked))
+        assert not session.ended
+
+    play(story)
+
+
+def test_bytes_that_go_on_coming_do_not_put_off_the_end_of_a_late_message() -> None:
+    async def story(door: Door) -> None:
+        sock, process, _ = await door.started()
+        session = door.sessions.sessions[process][0]
+        sock.sendall(Client.simple(query())[:-1])
+        time.sleep(0.02)
+        session.due = door.sessions.loop.time() - door.limits.crossing_s - 0.01
+        assert session.overdue(door.sessions.loop.time()) == "silent"
+
+    play(story)
+
+
 # --- The client that left.
 
 
@@ -362,6 +388,16 @@
     assert again.take_line(spoilt) and again.take_line(spoilt) and again.number == 2
 
 
+def test_a_whole_list_needs_none_of_the_events_before_it() -> None:
+    """Else a bulletin that no longer has those would be asked for them for good, and no drain be heard of."""
+    given = bulletin()
+    assert not given.take_line(b'{"no":5,"roster":{"instances":[]}}') and given.number == 1
+    assert not given.take_line(b'{"no":5,"roster":{"reset":false,"instances":[]}}') and given.number == 1
+    assert given.take_line(b'{"no":5,"roster":{"reset":true,"instances":[]}}') and given.number == 5
+    assert given.take_line(b'{"no":6,"roster":{"instances":[]}}') and len(given.inbox.queue) == 2
+    assert given.take_line(b'{"no":4,"roster":{"reset":true,"instances":[]}}') and given.number == 6
+
+
 @pytest.mark.parametrize("drip", [b"", b"x"])
 def test_a_watch_without_a_whole_line_is_silent_whatever_drips(drip: bytes) -> None:
     async def story() -> None:
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -117,7 +117,11 @@
             return "departed"  # nobody reads there until the query is over: the end would not be seen
         if self.answering:
             return "stalled" if now - self.answered_at > self.limits.client_write_s else None
-        return "silent" if self.query is None and self.due is not None and now > self.due else None
+        if self.query is not None or self.due is None or now <= self.due:
+            return None
+        # Bytes that came in this very moment may make the query whole: they are read first, once.
+        crosses = now - self.due <= self.limits.crossing_s
+        return None if crosses and (self.connection.arrived() or self.connection.unread()) else "silent"
 
     def expire(self) -> None:
         """No whole query came in time: the client is told so where it has begun one."""
