Force that descriptors run out at accept, commands sent at once, nothing held back by the system

Rows of docs/crossings.md that had no forced test, or none at all, after the renewed page: an accept that fails for want of descriptors (five times: pauses of 10 ms, one idle session ended, the next clients served), commands sent at once (their time counts from their arrival, not from their turn), TCP_NODELAY on clients' and engines' sockets. All hold as the code stands: nothing to mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import errno
 import socket
 import struct
 import time
@@ -370,6 +371,53 @@
     play(story, client_connections=8, doorway=2, quiet_s=0.02, crossing_s=0.05)
 
 
+def test_no_descriptor_for_a_new_client_ends_an_idle_one_and_spins_not() -> None:
+    async def story(door: Door) -> None:
+        _, process, _ = await door.started()
+        door.sessions.quiet[door.sessions.sessions[process][0]] -= 60.0  # the only one that counts as idle
+        accept, refused = door.sessions.loop.sock_accept, list[float]()
+
+        async def none_left(listener: socket.socket) -> Any:
+            if len(refused) < 5:
+                refused.append(time.monotonic())
+                raise OSError(errno.EMFILE, "Too many open files")
+            return await accept(listener)
+
+        door.sessions.loop.sock_accept = none_left  # type: ignore[method-assign, assignment]
+        await door.started()  # ends the accept that waits; the next ones fail
+        await door.until(lambda: len(refused) == 5)
+        assert refused[-1] - refused[0] >= 0.04
+        await door.started()
+        assert door.counters["sessions", "displaced"] == 1
+        assert door.sessions.sessions[process][0].ended
+
+    play(story, quiet_s=30.0, linger_s=30.0)
+
+
+def test_commands_sent_at_once_count_their_time_from_then() -> None:
+    async def story(door: Door) -> None:
+        sock, _, _ = await door.started()
+        sock.sendall(Client.simple(query()) * 2)
+        await door.until(lambda: door.heard(Asked))
+        (first,) = door.heard(Asked)
+        time.sleep(0.3)
+        first.client.refuse(first, None)
+        await door.until(lambda: len(door.heard(Asked)) == 2)
+        second = door.heard(Asked)[1]
+        assert abs(second.taken_us - first.taken_us) < 150_000  # by the kernel's account, not 0.3 s later
+
+    play(story)
+
+
+def test_nothing_small_is_held_back_by_the_system() -> None:
+    async def story(door: Door) -> None:
+        _, process, _ = await door.started()
+        sock = door.sessions.sessions[process][0].connection.sock
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(story)
+
+
 # --- The bulletin.
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -212,6 +212,16 @@
     play(story, partial_answer_us=10_000_000)  # the link itself ends long after
 
 
+def test_nothing_small_is_held_back_by_the_system() -> None:
+    async def story(world: World) -> None:
+        await world.send()
+        ((link,),) = world.links.links.values()
+        assert link.connection is not None
+        assert link.connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(story)
+
+
 def test_what_may_not_be_repeated_shares_no_link_while_descriptors_allow() -> None:
     async def story(world: World) -> None:
         for alone, links in ((False, 1), (False, 1), (True, 2), (False, 2), (True, 3), (True, 3), (False, 3)):
