Measure an engine's flood in processor time: the test failed where the machine is busy

Noticed: test_an_engine_that_never_stops_sending... failed in 1 of 13 runs under a load of 17 (a turn of the loop over 0.5 s of real time, in a process of two threads that compete). It bounds what one turn of the loop takes, so it is measured in the processor time of the loop's thread now, with 0.2 s instead of 0.5, and half the flood, which is enough: with the yield in Link._run taken out it fails as before (0.2 s allowed, about 1 s taken; 1.89 s with the whole flood).

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -236,14 +236,14 @@
     async def story(world: World) -> None:
         await world.send()
         block = b"00000000000000ff update how=done,datum=0.5 0\r\n\r\n" * 20_000
-        flood = asyncio.create_task(asyncio.to_thread(world.accepted[0].sendall, block * 10))
-        longest = 0.0
+        flood = asyncio.create_task(asyncio.to_thread(world.accepted[0].sendall, block * 5))
+        longest = 0.0  # in processor time of the loop's thread: the rest is what else the machine does
         while not flood.done():
-            start = time.monotonic()
+            start = time.thread_time()
             await asyncio.sleep(0)
-            longest = max(longest, time.monotonic() - start)
+            longest = max(longest, time.thread_time() - start)
         await flood
-        assert longest < 0.5
+        assert longest < 0.2
 
     play(story)
 
