--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -15,6 +15,7 @@
 from whintrail.gateway.clock import Clock
 from whintrail.gateway.connection import address
 from whintrail.gateway.counters import Counters
+from whintrail.gateway.enginelines import check_class_name
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.links import Links
 from whintrail.gateway.log import Log, say
@@ -78,6 +79,8 @@
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             if not settings.classes:  # it would fail every query, one by one
                 raise ValueError("settings without Classes")
+            for cls in settings.classes:
+                check_class_name(cls.name)
             self.zones = tuple(str(zone) for zone in get(config["settings"], "Zones", []))
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
@@ -292,12 +295,14 @@
             await asyncio.sleep(self.limits.poll_s)
 
 
-def main() -> int:
+def main(early: list[int] | None = None) -> int:
+    """`early` takes the SIGHUPs that came before the loop handles them, where the caller has seen to them
+    since before this module was imported: none ends the program, and what they told of is read."""
     import uvloop
 
-    # Until the loop handles them: a SIGHUP never ends the program, and what it told of is read all the same.
-    early: list[int] = []
-    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    if early is None:
+        early = []
+        signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
