Fit measured costs against sizes: slope with its error, exponent, form, size at a budget

docs/CAPACITY.md needs slopes with error bars and a word where a fit is no line. Weighted least squares; errors known up to a common factor, so intervals go by Student's t. `whintrail scale fit FILES` prints the table; its command has its own module, as `fit` is the pure function.

--- /dev/null
+++ b/tests/test_scale_fitting.py
@@ -0,0 +1,127 @@
+"""Fits: lines are found again, what is no line is named, intervals hold as often as they say."""
+
+import math
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from whintrail.cli.root import root
+from whintrail.scale.fitting import FitError, fit
+from whintrail.scale.results import Sample, sample, save, this_machine
+
+SIZES = (20, 80, 200, 800, 3000, 8000, 15_000)
+SPREAD = (0.97, 1.0, 1.03)
+
+
+def samples(value: Callable[[int], float], sizes: tuple[int, ...] = SIZES) -> list[Sample]:
+    return [sample("cost_us", "us", (4, x), [value(x) * part for part in SPREAD], "core") for x in sizes]
+
+
+@given(st.floats(0, 1e4), st.floats(1e-3, 1e4))
+@settings(max_examples=60, deadline=None)
+def test_an_exact_line_is_found_again(intercept: float, slope: float) -> None:
+    found = fit(samples(lambda x: intercept + slope * x), "cost_us", "engines")
+    assert found.slope == pytest.approx(slope, rel=1e-6)
+    assert found.intercept == pytest.approx(intercept, rel=1e-6, abs=1e-6 * slope * SIZES[0])
+    assert found.form in ("linear", "constant")
+    value, low, high = found.at(4000)
+    assert low <= value <= high
+    assert value == pytest.approx(intercept + slope * 4000, rel=1e-6)
+    assert found.sizes == SIZES
+
+
+@given(st.floats(0.3, 3.0).filter(lambda p: abs(p - 1) > 0.15), st.floats(0.01, 100))
+@settings(max_examples=60, deadline=None)
+def test_a_power_is_named_with_its_exponent(exponent: float, factor: float) -> None:
+    found = fit(samples(lambda x: factor * x**exponent), "cost_us", "engines")
+    word, named = found.form.split()[:2]  # to two digits, either way where it lies between
+    assert word == "power"
+    assert abs(float(named) - exponent) <= 0.005 + 1e-9
+    assert found.exponent == pytest.approx(exponent, rel=1e-6)
+    assert found.at(30_000)[0] == pytest.approx(factor * 30_000**exponent, rel=1e-6)
+
+
+def test_what_is_no_line_says_what_it_is() -> None:
+    def named(value: Callable[[int], float]) -> str:
+        return fit(samples(value), "cost_us", "engines").form
+
+    assert named(lambda x: 7.0) == "constant"
+    assert named(lambda x: 5 + 3 * x) == "linear"
+    assert named(lambda x: 30 * x + 0.01 * x**2) == "quadratic"
+    assert named(lambda x: 1.0 if x < 1000 else 50.0) == "step between 800 and 3000"
+    assert named(lambda x: 1.0 if x % 800 else 50.0).startswith("no line")
+
+
+def test_a_line_below_zero_is_a_line_and_has_no_exponent() -> None:
+    found = fit(samples(lambda x: -5.0 - x), "cost_us", "engines")
+    assert found.form == "linear"
+    assert math.isnan(found.exponent)
+
+
+def test_noise_is_covered_as_often_as_the_interval_says() -> None:
+    """Of 400 lines with a noise of 5%, the slope and a further measurement lie within 95% intervals, but for
+    the chance of the draw (three standard deviations of a share of 400)."""
+    random, slopes, values, runs = Random(5), 0, 0, 400
+    slack = 3 * math.sqrt(0.95 * 0.05 / runs)
+    for _ in range(runs):
+        noisy = {x: (40 + 2 * x) * random.gauss(1, 0.05) for x in SIZES}
+        found = fit(samples(lambda x, noisy=noisy: noisy[x]), "cost_us", "engines")  # type: ignore[misc]
+        slopes += abs(found.slope - 2) <= 2.571 * found.slope_error  # Student's t, five degrees of freedom
+        further = (40 + 2 * 4000) * random.gauss(1, 0.05)
+        _, low, high = found.at(4000)
+        values += low <= further <= high
+    assert abs(slopes / runs - 0.95) <= slack
+    assert abs(values / runs - 0.95) <= slack
+
+
+@given(st.floats(0, 100), st.floats(0.01, 100), st.floats(1.5, 1000))
+@settings(max_examples=40, deadline=None)
+def test_the_size_at_a_budget_is_where_the_line_crosses_it(
+    intercept: float, slope: float, times: float
+) -> None:
+    found = fit(samples(lambda x: intercept + slope * x), "cost_us", "engines")
+    budget = (intercept + slope) * times
+    size = found.size_at(budget)
+    assert size is not None
+    assert found.at(size)[0] == pytest.approx(budget, rel=1e-3)
+    early, late = found.size_range(budget)
+    assert early is not None
+    assert early <= size + 1e-3 * size
+    assert late is None or late >= size - 1e-3 * size
+
+
+def test_a_budget_that_nothing_reaches_and_one_that_everything_does() -> None:
+    found = fit(samples(lambda x: 100.0), "cost_us", "engines")
+    assert found.size_at(1000) is None
+    assert found.size_at(10) == 0.0
+
+
+def test_only_the_samples_that_were_asked_for_count() -> None:
+    line = samples(lambda x: 2.0 * x)
+    other = [sample("cost_us", "us", (9, x), [7.0 * x], "core") for x in SIZES[:3]]
+    real = [sample("cost_us", "us", (4, x), [9.0 * x], "real") for x in SIZES]
+    assert fit([*line, *other, *real], "cost_us", "engines", kind="core").slope == pytest.approx(2)
+    assert fit([*line, *other], "cost_us", "engines").other == 4
+    with pytest.raises(FitError, match="no sample"):
+        fit(line, "cost_us", "engines", day="zone lost")
+    with pytest.raises(FitError, match="one size"):
+        fit(line[:1], "cost_us", "engines")
+    with pytest.raises(FitError, match="units"):
+        fit([*line, sample("cost_us", "ms", (4, 9), [1.0], "core")], "cost_us", "engines")
+
+
+def test_the_command_prints_a_row_a_quantity_and_refuses_what_is_no_results_file(tmp_path: Path) -> None:
+    path = tmp_path / "some.json"
+    save(path, "a command", 0.0, this_machine(), samples(lambda x: 5 + 3 * x), "")
+    found = CliRunner().invoke(root, ["scale", "fit", str(path)])
+    assert found.exit_code == 0
+    assert "cost_us" in found.output
+    assert "linear" in found.output
+    (tmp_path / "bad.json").write_text("{}")
+    found = CliRunner().invoke(root, ["scale", "fit", str(tmp_path / "bad.json")])
+    assert found.exit_code == 1
--- a/whintrail/cli/scale.py
+++ b/whintrail/cli/scale.py
@@ -12,7 +12,7 @@
         "ways": "whintrail.scale.ways:ways",
         "run": "whintrail.scale.run:run",
         "sweep": "whintrail.scale.run:sweep",
-        "fit": "whintrail.scale.fitting:fit",
+        "fit": "whintrail.scale.fits:fit_files",
         "report": "whintrail.scale.page:report",
         "check": "whintrail.scale.page:check",
     }
--- /dev/null
+++ b/whintrail/scale/fits.py
@@ -0,0 +1,61 @@
+"""`whintrail scale fit`: slopes with their errors, from files of results."""
+
+import math
+from pathlib import Path
+
+import click
+
+from whintrail.cli.output import emit, format_option
+from whintrail.scale.fitting import FitError, Grows, fit
+from whintrail.scale.results import ResultsError, Sample, load
+
+COLUMNS = (
+    "quantity", "kind", "role", "day", "subset", "grows_with", "form", "intercept", "slope", "slope_error",
+    "unit", "exponent", "exponent_error", "worst", "sizes",
+)  # fmt: skip
+GROWS: tuple[Grows, ...] = ("engines", "gateways")
+
+
+def rows(samples: list[Sample]) -> list[dict[str, object]]:
+    """A row for each quantity, kind, role, day, subset and note, and each size with which it was varied."""
+    found: list[dict[str, object]] = []
+    keys = dict.fromkeys((s.quantity, s.kind, s.role, s.day, s.subset, s.note) for s in samples)
+    for quantity, kind, role, day, subset, note in keys:
+        for grows_with in GROWS:
+            try:
+                fitted = fit(
+                    samples, quantity, grows_with, kind=kind, role=role, subset=subset, day=day, note=note
+                )
+            except FitError:
+                continue
+            row: dict[str, object] = {"quantity": quantity, "kind": kind, "role": role, "day": day}
+            row |= {"subset": subset, "note": note, "grows_with": grows_with, "form": fitted.form}
+            row |= {"intercept": fitted.intercept, "slope": fitted.slope, "slope_error": fitted.slope_error}
+            row |= {"unit": fitted.unit, "worst": fitted.worst}
+            row |= {"sizes": " ".join(str(size) for size in fitted.sizes)}
+            row |= {"exponent": None, "exponent_error": None}
+            if not math.isnan(fitted.exponent):
+                row |= {"exponent": fitted.exponent, "exponent_error": fitted.exponent_error}
+            found.append(row)
+    return found
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--quantity", default="", help="Only quantities whose name holds this.")
+@format_option
+def fit_files(files: tuple[Path, ...], quantity: str, form: str) -> None:
+    """Fit every quantity in FILES that was taken at two sizes or more.
+
+    \b
+    Examples:
+      whintrail scale fit docs/capacity/slopes.json
+      whintrail scale fit docs/capacity/slopes.json --quantity module --format json
+    """
+    samples: list[Sample] = []
+    for path in files:
+        try:
+            samples += load(path).samples
+        except ResultsError as error:
+            raise click.ClickException(str(error)) from error
+    emit(rows([s for s in samples if quantity in s.quantity]), COLUMNS, form)
