Measure the real cores alone at several sizes, and memos of modules played together

docs/CAPACITY.md needs slopes that a command writes. `whintrail scale slopes` drives the decision module, read_listed, membership, fleet nodes with their council, versions' wire forms: processor time, bytes held, datagrams and bytes (28 a datagram counted). Bounds in time and memory end it with what it has.

--- a/whintrail/scale/fitting.py
+++ b/whintrail/scale/fitting.py
@@ -126,12 +126,14 @@
     day: str = "steady",
     note: str | None = None,
 ) -> list[Sample]:
-    """The samples at that other size which has the most sizes of this one, of equals the greater."""
+    """The samples at that other size which has the most sizes of this one, of equals the greater. A size of
+    0 says that it bears on nothing: such samples are no part of it."""
 
     def other(sample: Sample) -> int:
         return sample.gateways if grows_with == "engines" else sample.engines
 
     found = [s for s in samples if s.quantity == quantity and s.subset == subset and s.day == day]
+    found = [s for s in found if getattr(s, grows_with) > 0]
     found = [s for s in found if kind in (None, s.kind) and role in (None, s.role) and note in (None, s.note)]
     sizes: dict[int, set[int]] = {}
     for sample in found:
--- /dev/null
+++ b/whintrail/scale/slopes.py
@@ -0,0 +1,164 @@
+"""`whintrail scale slopes`: what the cores cost alone, at several sizes each, by processor time."""
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import click
+
+from whintrail.gateway.limits import Limits
+from whintrail.scale import slopes_fleet, slopes_memos, slopes_module, slopes_versions
+from whintrail.scale.deployment import Deployment
+from whintrail.scale.results import Sample, sample, save, this_machine
+from whintrail.scale.timing import Bound, BoundError, collector, cpu_us, peak_mb
+
+PARTS = ("versions", "module", "list", "memos", "members", "nodes")
+ENGINES = "20,80,200,800,2000,5000,15000"
+GATEWAYS = "20,50,200,800,2000,4000"
+PLAYED_ENGINES, PLAYED_GATEWAYS = "20,40,80,120,160", "5,10,20,40,60"
+REFRESH = "module_refresh_us"
+
+
+class Sizes(click.ParamType):  # type: ignore[type-arg,unused-ignore]
+    """Sizes between commas."""
+
+    name = "sizes"
+
+    def convert(
+        self, value: object, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[int, ...]:
+        try:
+            found = tuple(sorted({int(part) for part in str(value).split(",")}))
+        except ValueError:
+            self.fail(f"{value}: whole numbers between commas are wanted", param, ctx)
+        if found[0] < 5:
+            self.fail(f"{found[0]}: 5 at least", param, ctx)
+        return found
+
+
+def spin() -> int:
+    """A piece of Python that is always the same: how fast the machine was meanwhile."""
+    return sum(number * number for number in range(10_000))
+
+
+class Run:
+    """Goes through the parts, the small sizes first, and keeps what it has when its bounds end it."""
+
+    def __init__(self, bound: Bound, repeats: int, say: Callable[[str], None]) -> None:
+        self.bound, self.repeats, self.say = bound, repeats, say
+        self.samples: list[Sample] = []
+
+    def take(self, what: str, found: Iterator[Sample]) -> list[Sample]:
+        began, before = time.monotonic(), len(self.samples)
+        for one in found:
+            self.samples.append(one)
+            self.bound.check()
+        self.say(f"{what}: {len(self.samples) - before} quantities, {time.monotonic() - began:.1f} s")
+        return self.samples[before:]
+
+    def reference(self, sizes: tuple[int, int]) -> Iterator[Sample]:
+        yield sample("reference_us", "us", sizes, cpu_us(spin, self.repeats, self.bound), "core")
+
+    def engines(self, sizes: tuple[int, ...], fleet: int, parts: tuple[str, ...]) -> None:
+        refresh_s, last = 0.0, 0
+        for size in sizes:
+            deployment = Deployment(fleet, size)
+            if "versions" in parts:
+                self.take(f"bodies, {size} engines", slopes_versions.bodies(deployment))
+            if "list" in parts:
+                self.take(f"list, {size} engines", self._list(deployment))
+            if "module" in parts:
+                if last:
+                    refresh_s *= (size / last) ** 2  # at worst: it has been seen to grow with the square
+                self.take(f"reference, {size} engines", self.reference((fleet, size)))
+                found = slopes_module.module(deployment, self.repeats, self.bound, refresh_s=refresh_s)
+                taken = self.take(f"module, {size} engines", found)
+                times = [one.value / 1e6 for one in taken if one.quantity == REFRESH]
+                refresh_s, last = (times[0] if times else refresh_s), size
+
+    def _list(self, deployment: Deployment) -> Iterator[Sample]:
+        yield slopes_module.keys_shared(deployment)
+        yield from slopes_module.reading(deployment, self.repeats, self.bound)
+
+    def gateways(self, sizes: tuple[int, ...], parts: tuple[str, ...]) -> None:
+        for size in sizes:
+            deployment = Deployment(size, 0)
+            if "versions" in parts:
+                self.take(f"changes, {size} gateways", slopes_versions.changes(deployment))
+                self.samples.append(slopes_versions.cold_part(deployment))
+            if "members" in parts:
+                self.take(f"reference, {size} gateways", self.reference((size, 0)))
+                found = slopes_fleet.membership(deployment, self.repeats, self.bound)
+                self.take(f"members, {size} gateways", found)
+            if "nodes" in parts:
+                found = slopes_fleet.nodes(deployment, self.repeats, self.bound)
+                self.take(f"nodes, {size} gateways", found)
+
+    def memos(self, engines: tuple[int, ...], gateways: tuple[int, ...], rate: float) -> None:
+        middle_engines, middle_gateways = engines[len(engines) // 2], gateways[len(gateways) // 2]
+        pairs = [(middle_gateways, size) for size in engines]
+        pairs += [(size, middle_engines) for size in gateways if size != middle_gateways]
+        for fleet, size in pairs:
+            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bound)
+            self.take(f"memos, {fleet} gateways, {size} engines", found)
+
+
+@click.command()
+@click.option(
+    "--to", type=click.Path(path_type=Path), default=Path("docs/capacity/slopes.json"), show_default=True
+)
+@click.option("--engines", type=Sizes(), default=ENGINES, show_default=True)
+@click.option("--gateways", type=Sizes(), default=GATEWAYS, show_default=True)
+@click.option("--fleet", default=200, show_default=True, help="Gateways where engines are varied.")
+@click.option("--played-engines", type=Sizes(), default=PLAYED_ENGINES, show_default=True)
+@click.option("--played-gateways", type=Sizes(), default=PLAYED_GATEWAYS, show_default=True)
+@click.option("--rate", default=20.0, show_default=True, help="Queries a second, a gateway that is played.")
+@click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; may be repeated.")
+@click.option("--repeats", type=click.IntRange(3), default=25, show_default=True)
+@click.option("--seconds", default=900.0, show_default=True, help="It ends by itself after so long.")
+@click.option("--memory-mb", default=2048.0, show_default=True, help="And when it holds more than this.")
+def slopes(
+    to: Path,
+    engines: tuple[int, ...],
+    gateways: tuple[int, ...],
+    fleet: int,
+    played_engines: tuple[int, ...],
+    played_gateways: tuple[int, ...],
+    rate: float,
+    parts: tuple[str, ...],
+    repeats: int,
+    seconds: float,
+    memory_mb: float,
+) -> None:
+    """Measure the cores alone: the decision module, the list, memos, membership, a fleet's nodes.
+
+    \b
+    Times are processor time of this one process. Nothing is sent; no address is connected to.
+      whintrail scale slopes --to docs/capacity/slopes.json
+      whintrail scale slopes --part memos --to /tmp/memos.json
+    """
+    began, machine = time.time(), this_machine()
+    run = Run(Bound(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True))
+    wanted, ended = parts or PARTS, ""
+    try:
+        with collector(Limits.read({}).gc_thresholds):
+            run.gateways(gateways, wanted)
+            run.engines(engines, fleet, wanted)
+            if "memos" in wanted:
+                run.memos(played_engines, played_gateways, rate)
+    except BoundError as error:
+        ended = f"ended before its time, what is missing was not run: {error}"
+    except KeyboardInterrupt:
+        ended = "ended by hand, what is missing was not run"
+    context = click.get_current_context()
+    given = {"engines": engines, "gateways": gateways, "fleet": fleet, "repeats": repeats, "parts": wanted}
+    given |= {"played-engines": played_engines, "played-gateways": played_gateways, "rate": rate}
+    typed = [f"--{name} {_text(value)}" for name, value in given.items()]
+    save(to, " ".join([context.command_path, *typed]), began, machine, run.samples, ended)
+    click.echo(f"{len(run.samples)} samples to {to}, {peak_mb():.0f} MB at most", err=True)
+    if ended:
+        raise click.ClickException(ended)
+
+
+def _text(value: object) -> str:
+    return ",".join(str(part) for part in value) if isinstance(value, tuple) else str(value)
