--- a/whintrail/scale/slopes.py
+++ b/whintrail/scale/slopes.py
@@ -3,8 +3,10 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from statistics import median
 
 import click
+from msgspec.structs import replace
 
 from whintrail.gateway.limits import Limits
 from whintrail.scale import slopes_fleet, slopes_memos, slopes_module, slopes_versions
@@ -19,7 +21,7 @@
 REFRESH = "module_refresh_us"
 
 
-class Sizes(click.ParamType):  # type: ignore[type-arg,unused-ignore]
+class Sizes(click.ParamType[tuple[int, ...]]):
     """Sizes between commas."""
 
     name = "sizes"
@@ -41,6 +43,24 @@
     return sum(number * number for number in range(10_000))
 
 
+def merged(samples: list[Sample]) -> list[Sample]:
+    """One sample a quantity, size and role: the median of the rounds', between the least and the greatest."""
+    found: dict[tuple[object, ...], list[Sample]] = {}
+    for one in samples:
+        key = one.quantity, one.gateways, one.engines, one.role, one.subset, one.note
+        found.setdefault(key, []).append(one)
+    return [
+        replace(
+            rounds[0],
+            value=median(one.value for one in rounds),
+            low=min(one.low for one in rounds),
+            high=max(one.high for one in rounds),
+            n=sum(one.n for one in rounds),
+        )
+        for rounds in found.values()
+    ]
+
+
 class Run:
     """Goes through the parts, the small sizes first, and keeps what it has when its bounds end it."""
 
@@ -114,7 +134,8 @@
 @click.option("--played-gateways", type=Sizes(), default=PLAYED_GATEWAYS, show_default=True)
 @click.option("--rate", default=20.0, show_default=True, help="Queries a second, a gateway that is played.")
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; may be repeated.")
-@click.option("--repeats", type=click.IntRange(3), default=25, show_default=True)
+@click.option("--repeats", type=click.IntRange(3), default=15, show_default=True)
+@click.option("--rounds", type=click.IntRange(1), default=3, show_default=True, help="Over all sizes.")
 @click.option("--seconds", default=900.0, show_default=True, help="It ends by itself after so long.")
 @click.option("--memory-mb", default=2048.0, show_default=True, help="And when it holds more than this.")
 def slopes(
@@ -127,6 +148,7 @@
     rate: float,
     parts: tuple[str, ...],
     repeats: int,
+    rounds: int,
     seconds: float,
     memory_mb: float,
 ) -> None:
@@ -142,20 +164,23 @@
     wanted, ended = parts or PARTS, ""
     try:
         with collector(Limits.read({}).gc_thresholds):
-            run.gateways(gateways, wanted)
-            run.engines(engines, fleet, wanted)
-            if "memos" in wanted:
+            if "memos" in wanted:  # counts in simulated time: a busy machine is none of theirs
                 run.memos(played_engines, played_gateways, rate)
+            for turn in range(rounds):
+                run.say(f"round {turn + 1} of {rounds}")
+                run.gateways(gateways, wanted)
+                run.engines(engines, fleet, wanted)
     except BoundError as error:
         ended = f"ended before its time, what is missing was not run: {error}"
     except KeyboardInterrupt:
         ended = "ended by hand, what is missing was not run"
     context = click.get_current_context()
-    given = {"engines": engines, "gateways": gateways, "fleet": fleet, "repeats": repeats, "parts": wanted}
+    given = {"engines": engines, "gateways": gateways, "fleet": fleet, "parts": wanted}
+    given |= {"repeats": repeats, "rounds": rounds}
     given |= {"played-engines": played_engines, "played-gateways": played_gateways, "rate": rate}
     typed = [f"--{name} {_text(value)}" for name, value in given.items()]
-    save(to, " ".join([context.command_path, *typed]), began, machine, run.samples, ended)
-    click.echo(f"{len(run.samples)} samples to {to}, {peak_mb():.0f} MB at most", err=True)
+    save(to, " ".join([context.command_path, *typed]), began, machine, merged(run.samples), ended)
+    click.echo(f"{len(merged(run.samples))} samples to {to}, {peak_mb():.0f} MB at most", err=True)
     if ended:
         raise click.ClickException(ended)
 
--- a/whintrail/scale/slopes_versions.py
+++ b/whintrail/scale/slopes_versions.py
@@ -1,4 +1,4 @@
-"""What a change of the agreed settings weighs, on the wire and in the log; what a fleet's size leaves each."""
+"""What a change of the agreed settings weighs, on the wire and in the log; what a size leaves to each."""
 
 from collections.abc import Iterator
 
