--- a/whintrail/scale/fitting.py
+++ b/whintrail/scale/fitting.py
@@ -19,6 +19,8 @@
 
 FLOOR = 0.02  # of the value: a size's median is never trusted better
 WITHIN = 0.15  # of the value: what lies further off the curve at some size is no such curve
+LOOSELY = 0.3  # the same for a line of which nothing says that it is another curve
+BENT = 0.1  # an exponent as near to 1 names no power
 MATTERS = 0.1  # of the line's rise: a quadratic term below it is not spoken of
 FLAT = 0.05  # of the value: a rise below it over all sizes is none
 JUMP = 0.9  # of the whole rise, between two neighbouring sizes: a step
@@ -50,7 +52,9 @@
     slope_error: float  # one standard error
     exponent: float  # slope of log value over log size; nan where a value is not positive
     exponent_error: float
-    form: str  # linear, constant, "power P +- E", quadratic, "step between A and B", "no line: ..."
+    form: (
+        str  # linear, constant, "power P +- E", quadratic, "step between A and B", "no line: ...", and so on
+    )
     sizes: tuple[int, ...]
     worst: float  # the greatest residual of the line, against the value measured there
     other: int = 0  # the other size at which it was taken
@@ -166,9 +170,11 @@
     values = np.array([s.value for s in kept], dtype=np.float64)
     spread = np.array([(s.high - s.low) / (2 * NORMAL_90) for s in kept], dtype=np.float64)
     counts = np.array([max(1, s.n) for s in kept], dtype=np.float64)
-    tiny = max(float(np.abs(values).max()) * 1e-9, 1e-12)
-    # A median's standard error is 1.25 of a mean's.
-    errors = np.maximum(np.hypot(1.25 * spread / np.sqrt(counts), FLOOR * np.abs(values)), tiny)
+    greatest = float(np.abs(values).max())
+    tiny = max(greatest * 1e-9, 1e-12)
+    # A median's standard error is 1.25 of a mean's. A value of 0 is not known beyond all others.
+    floor = FLOOR * np.maximum(np.abs(values), greatest * 1e-3)
+    errors = np.maximum(np.hypot(1.25 * spread / np.sqrt(counts), floor), tiny)
     allowed = np.maximum(WITHIN, spread / np.maximum(np.abs(values), tiny))
 
     ones = np.ones_like(sizes)
@@ -225,7 +231,8 @@
             bent = None
     if bool((relative <= allowed).all()) and bent is None:
         return "linear" if distinct > 2 else "linear, of two sizes", straight
-    if power is not None:
+    away = abs(float(power.found[1]) - 1) if power is not None else 0.0
+    if power is not None and away > max(BENT, 2 * power.error(1)):
         curve = _power(power, noise)
         off = np.array([abs(curve(float(x))[0] / y - 1) for x, y in zip(sizes, values, strict=True)])
         if bool((off <= allowed).all()):
@@ -241,9 +248,10 @@
     if distinct >= 4 and jumps[largest] >= JUMP * float(jumps.sum()):
         low, high = (int(x) for x in np.unique(sizes)[largest : largest + 2])
         return f"step between {low} and {high}", _between(np.unique(sizes), levels, float(relative.max()))
-    if bool((relative <= allowed).all()):
-        return "linear, bent a little", straight
     bound = float(relative.max())
+    if bound <= LOOSELY:
+        rises = abs(float(line.found[1])) > student(line.freedom) * line.error(1)
+        return f"{'linear' if rises else 'constant'}, within {bound:.0%}", straight
     return f"no line: off by up to {bound:.0%}", _between(np.unique(sizes), levels, bound)
 
 
--- a/whintrail/scale/slopes.py
+++ b/whintrail/scale/slopes.py
@@ -11,13 +11,13 @@
 from whintrail.gateway.limits import Limits
 from whintrail.scale import slopes_fleet, slopes_memos, slopes_module, slopes_versions
 from whintrail.scale.deployment import Deployment
-from whintrail.scale.results import Sample, sample, save, this_machine
-from whintrail.scale.timing import Bound, BoundError, collector, cpu_us, peak_mb
+from whintrail.scale.results import Sample, save, this_machine
+from whintrail.scale.timing import Bench, BoundError, collector, peak_mb
 
 PARTS = ("versions", "module", "list", "memos", "members", "nodes")
 ENGINES = "20,80,200,800,2000,5000,15000"
 GATEWAYS = "20,50,200,800,2000,4000"
-PLAYED_ENGINES, PLAYED_GATEWAYS = "20,40,80,120,160", "5,10,20,40,60"
+PLAYED_ENGINES, PLAYED_GATEWAYS = "20,40,80,120,160", "10,20,50,100,200"
 REFRESH = "module_refresh_us"
 
 
@@ -38,11 +38,6 @@
         return found
 
 
-def spin() -> int:
-    """A piece of Python that is always the same: how fast the machine was meanwhile."""
-    return sum(number * number for number in range(10_000))
-
-
 def merged(samples: list[Sample]) -> list[Sample]:
     """One sample a quantity, size and role: the median of the rounds', between the least and the greatest."""
     found: dict[tuple[object, ...], list[Sample]] = {}
@@ -64,21 +59,18 @@
 class Run:
     """Goes through the parts, the small sizes first, and keeps what it has when its bounds end it."""
 
-    def __init__(self, bound: Bound, repeats: int, say: Callable[[str], None]) -> None:
-        self.bound, self.repeats, self.say = bound, repeats, say
+    def __init__(self, bench: Bench, repeats: int, say: Callable[[str], None]) -> None:
+        self.bench, self.repeats, self.say = bench, repeats, say
         self.samples: list[Sample] = []
 
     def take(self, what: str, found: Iterator[Sample]) -> list[Sample]:
         began, before = time.monotonic(), len(self.samples)
         for one in found:
             self.samples.append(one)
-            self.bound.check()
+            self.bench.check()
         self.say(f"{what}: {len(self.samples) - before} quantities, {time.monotonic() - began:.1f} s")
         return self.samples[before:]
 
-    def reference(self, sizes: tuple[int, int]) -> Iterator[Sample]:
-        yield sample("reference_us", "us", sizes, cpu_us(spin, self.repeats, self.bound), "core")
-
     def engines(self, sizes: tuple[int, ...], fleet: int, parts: tuple[str, ...]) -> None:
         refresh_s, last = 0.0, 0
         for size in sizes:
@@ -90,15 +82,14 @@
             if "module" in parts:
                 if last:
                     refresh_s *= (size / last) ** 2  # at worst: it has been seen to grow with the square
-                self.take(f"reference, {size} engines", self.reference((fleet, size)))
-                found = slopes_module.module(deployment, self.repeats, self.bound, refresh_s=refresh_s)
+                found = slopes_module.module(deployment, self.repeats, self.bench, refresh_s=refresh_s)
                 taken = self.take(f"module, {size} engines", found)
                 times = [one.value / 1e6 for one in taken if one.quantity == REFRESH]
                 refresh_s, last = (times[0] if times else refresh_s), size
 
     def _list(self, deployment: Deployment) -> Iterator[Sample]:
         yield slopes_module.keys_shared(deployment)
-        yield from slopes_module.reading(deployment, self.repeats, self.bound)
+        yield from slopes_module.reading(deployment, self.repeats, self.bench)
 
     def gateways(self, sizes: tuple[int, ...], parts: tuple[str, ...]) -> None:
         for size in sizes:
@@ -107,11 +98,10 @@
                 self.take(f"changes, {size} gateways", slopes_versions.changes(deployment))
                 self.samples.append(slopes_versions.cold_part(deployment))
             if "members" in parts:
-                self.take(f"reference, {size} gateways", self.reference((size, 0)))
-                found = slopes_fleet.membership(deployment, self.repeats, self.bound)
+                found = slopes_fleet.membership(deployment, self.repeats, self.bench)
                 self.take(f"members, {size} gateways", found)
             if "nodes" in parts:
-                found = slopes_fleet.nodes(deployment, self.repeats, self.bound)
+                found = slopes_fleet.nodes(deployment, self.repeats, self.bench)
                 self.take(f"nodes, {size} gateways", found)
 
     def memos(self, engines: tuple[int, ...], gateways: tuple[int, ...], rate: float) -> None:
@@ -119,7 +109,7 @@
         pairs = [(middle_gateways, size) for size in engines]
         pairs += [(size, middle_engines) for size in gateways if size != middle_gateways]
         for fleet, size in pairs:
-            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bound)
+            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bench)
             self.take(f"memos, {fleet} gateways, {size} engines", found)
 
 
@@ -136,7 +126,7 @@
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; may be repeated.")
 @click.option("--repeats", type=click.IntRange(3), default=15, show_default=True)
 @click.option("--rounds", type=click.IntRange(1), default=3, show_default=True, help="Over all sizes.")
-@click.option("--seconds", default=900.0, show_default=True, help="It ends by itself after so long.")
+@click.option("--seconds", default=1500.0, show_default=True, help="It ends by itself after so long.")
 @click.option("--memory-mb", default=2048.0, show_default=True, help="And when it holds more than this.")
 def slopes(
     to: Path,
@@ -160,7 +150,7 @@
       whintrail scale slopes --part memos --to /tmp/memos.json
     """
     began, machine = time.time(), this_machine()
-    run = Run(Bound(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True))
+    run = Run(Bench(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True))
     wanted, ended = parts or PARTS, ""
     try:
         with collector(Limits.read({}).gc_thresholds):
@@ -174,12 +164,16 @@
         ended = f"ended before its time, what is missing was not run: {error}"
     except KeyboardInterrupt:
         ended = "ended by hand, what is missing was not run"
+    slow = sorted(run.bench.slow) or [1.0]
+    note = "times are as on an undisturbed core: a fixed piece of work around each was "
+    note += f"{slow[len(slow) // 2]:.2f} times slower than at its fastest (median of {len(slow)}; at most "
+    note += f"{slow[-1]:.2f}). {ended}"
     context = click.get_current_context()
     given = {"engines": engines, "gateways": gateways, "fleet": fleet, "parts": wanted}
     given |= {"repeats": repeats, "rounds": rounds}
     given |= {"played-engines": played_engines, "played-gateways": played_gateways, "rate": rate}
     typed = [f"--{name} {_text(value)}" for name, value in given.items()]
-    save(to, " ".join([context.command_path, *typed]), began, machine, merged(run.samples), ended)
+    save(to, " ".join([context.command_path, *typed]), began, machine, merged(run.samples), note.strip())
     click.echo(f"{len(merged(run.samples))} samples to {to}, {peak_mb():.0f} MB at most", err=True)
     if ended:
         raise click.ClickException(ended)
--- a/whintrail/scale/slopes_fleet.py
+++ b/whintrail/scale/slopes_fleet.py
@@ -31,7 +31,7 @@
 from whintrail.scale.deployment import SECOND, Deployment
 from whintrail.scale.results import Sample, sample
 from whintrail.scale.slopes_memos import HEADERS
-from whintrail.scale.timing import Bound, cpu_us, held_bytes, traced
+from whintrail.scale.timing import Bench, cpu_us, held_bytes, traced
 from whintrail.versions.body import Body
 
 TURN_US = int(TURN_S * 1e6)
@@ -58,16 +58,17 @@
     return members
 
 
-def membership(deployment: Deployment, repeats: int, bound: Bound) -> Iterator[Sample]:
+def membership(deployment: Deployment, repeats: int, bench: Bench) -> Iterator[Sample]:
     """A turn (the mean over one period of them), a datagram, and the bytes held."""
     count = deployment.gateways
     sizes = count, 0
     held, members = held_bytes(lambda: known(count))
     yield sample("membership_bytes", "bytes", sizes, [float(held)], "core")
     members = known(count)
-    now, figures = BEGAN, list[float]()
-    for _ in range(repeats):
-        bound.check()
+    now = BEGAN
+
+    def period() -> float:
+        nonlocal now
         spent = 0
         for _ in range(TURNS):
             now += TURN_US
@@ -79,14 +80,19 @@
                     answer = Ack(message.seq, NOTHING, ())
                     members.heard(now, target, birth_of(target), INCARNATION, answer)
             members.out.clear()
-        figures.append(spent / 1000 / TURNS)
+        return spent / 1000 / TURNS
+
+    figures = []
+    for _ in range(repeats):
+        bench.check()
+        figures.append(bench.fair(period))
     yield sample("membership_tick_us", "us", sizes, figures, "core")
 
     def take() -> None:
         members.heard(now, 0, birth_of(0), INCARNATION, Ping(9, NOTHING, ()))
         members.out.clear()
 
-    yield sample("membership_take_us", "us", sizes, cpu_us(take, repeats, bound), "core")
+    yield sample("membership_take_us", "us", sizes, cpu_us(take, repeats, bench), "core")
 
 
 class Quiet:
@@ -132,7 +138,8 @@
         self.nodes: dict[int, Node] = {}
         self.sent: dict[int, Traffic] = {}
         self.got: dict[int, Traffic] = {}
-        self.spent_ns: Counter[int] = Counter()
+        self.spent_ns: Counter[int] = Counter()  # of a node: in its turns, and in all
+        self.ticks_ns: Counter[int] = Counter()
         self.last, self.note = self.count - 1, NOTHING
         for number in (*COUNCIL, self.last):
             self.nodes[number] = self._node(deployment, number)
@@ -172,7 +179,9 @@
             began = time.process_time_ns()
             node.tick(self.now)
             found = node.flush(self.now)
-            self.spent_ns[number] += time.process_time_ns() - began
+            took = time.process_time_ns() - began
+            self.spent_ns[number] += took
+            self.ticks_ns[number] += took
             mail += self._out(number, found)
         leader = self.leader
         self.note = NOTHING if leader is None else self.nodes[leader].note()  # all know what is agreed
@@ -225,15 +234,15 @@
             return [(target, origin, self._letter(target, Ack(message.seq, self.note, ())))]
         return []
 
-    def run(self, seconds: float, bound: Bound, asks: bool) -> None:
+    def run(self, seconds: float, bench: Bench, asks: bool) -> None:
         for _ in range(int(seconds * SECOND / TURN_US)):
-            bound.check()
+            bench.check()
             self.turn(asks)
 
-    def elect(self, bound: Bound) -> int:
+    def elect(self, bench: Bench) -> int:
         """Until a leader is sure of it."""
         for _ in range(ELECTION_S * TURNS):
-            bound.check()
+            bench.check()
             self.turn(asks=False)
             leader = self.leader
             if leader is not None:
@@ -243,32 +252,41 @@
         raise RuntimeError(f"no leader within {ELECTION_S} s of simulated time")
 
 
-def nodes(deployment: Deployment, repeats: int, bound: Bound) -> Iterator[Sample]:
+def nodes(deployment: Deployment, repeats: int, bench: Bench) -> Iterator[Sample]:
     """Turns, datagrams, bytes held and lease traffic: of the leader, and of a member that is none."""
     count = deployment.gateways
     sizes = count, 0
     with traced() as held:
         played = Nodes(deployment)
-        leader, member = played.elect(bound), played.last
-        played.run(1, bound, asks=True)
+        leader, member = played.elect(bench), played.last
+        played.run(1, bench, asks=True)
         for number, role in ((leader, "leader"), (member, "gateway")):
             before = held()
             del played.nodes[number]
             yield replace(sample("node_bytes", "bytes", sizes, [float(before - held())], "core"), role=role)
     played = Nodes(deployment)
-    leader = played.elect(bound)
-    played.run(SETTLE_S, bound, asks=True)
-    played.spent_ns.clear()
+    leader = played.elect(bench)
+    played.run(SETTLE_S, bench, asks=True)
     for traffic in (*played.sent.values(), *played.got.values()):
         traffic.datagrams.clear()
         traffic.bytes.clear()
     for number in played.nodes:
         played.nodes[number].counts.clear()
-    played.run(PLAYED_S, bound, asks=True)
+    shares: dict[int, list[float]] = {leader: [], member: []}
+    for _ in range(PLAYED_S):
+        spent, slow = dict(played.spent_ns), bench.slower()
+        played.run(1, bench, asks=True)
+        slow = (slow + bench.slower()) / 2
+        for number, found in shares.items():
+            found.append((played.spent_ns[number] - spent[number]) / 1e9 / slow)
+    for number, role in ((leader, "leader"), (member, "gateway")):
+        yield replace(sample("node_cpu_share", "share", sizes, shares[number], "core"), role=role)
     yield from _leases(played, sizes, leader)
 
     for number, role in ((leader, "leader"), (member, "gateway")):
-        yield replace(sample("node_tick_us", "us", sizes, _ticks(played, number, repeats), "core"), role=role)
+        yield replace(
+            sample("node_tick_us", "us", sizes, _ticks(played, number, repeats, bench), "core"), role=role
+        )
         node = played.nodes[number]
         ask = played._letter(played.played[0], LeaseAsk(played.now // 1000 & 0xFFFFFFFF, 0, False, 0, ""))
         ping = played._letter(played.played[0], Ping(1, played.note, ()))
@@ -278,21 +296,22 @@
             node.take(played.now, played.played[0], data)
             node.flush(played.now)
 
-        yield replace(sample("node_take_us", "us", sizes, cpu_us(take, repeats, bound), "core"), role=role)
+        yield replace(sample("node_take_us", "us", sizes, cpu_us(take, repeats, bench), "core"), role=role)
 
 
-def _ticks(played: Nodes, number: int, repeats: int) -> list[float]:
+def _ticks(played: Nodes, number: int, repeats: int, bench: Bench) -> list[float]:
     """Means over a period's turns, of one node, while the others go on."""
-    figures = []
-    for _ in range(max(3, repeats // 3)):
-        spent = 0
+
+    def period() -> float:
+        before = played.ticks_ns[number]
         for _ in range(TURNS):
             played.turn(asks=True)
-            node, began = played.nodes[number], time.process_time_ns()
-            node.tick(played.now)
-            node.flush(played.now)
-            spent += time.process_time_ns() - began
-        figures.append(spent / 1000 / TURNS)
+        return (played.ticks_ns[number] - before) / 1000 / TURNS
+
+    figures = []
+    for _ in range(max(3, repeats // 3)):
+        bench.check()
+        figures.append(bench.fair(period))
     return figures
 
 
@@ -318,8 +337,6 @@
     held_back = played.nodes[leader].counts["held_back"] / PLAYED_S
     yield one("leader_held_back_per_s", "datagrams/s", held_back, "leader")
     for number, role in ((leader, "leader"), (played.last, "gateway")):
-        share = played.spent_ns[number] / 1e9 / PLAYED_S
-        yield one("node_cpu_share", "share", share, role)
         both = [played.sent[number], played.got[number]]
         yield one(
             "node_datagrams_per_s", "datagrams/s", sum(t.datagrams.total() for t in both) / PLAYED_S, role
--- a/whintrail/scale/slopes_memos.py
+++ b/whintrail/scale/slopes_memos.py
@@ -15,7 +15,7 @@
 from whintrail.brain import SWEEP, SWEEP_US, Gateway
 from whintrail.scale.deployment import SECOND, Deployment
 from whintrail.scale.results import Sample, sample
-from whintrail.scale.timing import Bound
+from whintrail.scale.timing import Bench
 
 HEADERS = 28  # bytes of IPv4 and UDP in front of each datagram
 SETTLE_US, COUNT_US = 6 * SECOND, 10 * SECOND
@@ -68,14 +68,14 @@
     def pause(self) -> int:
         return int(self.random.expovariate(self.rate) * SECOND)
 
-    def run(self, us: int, bound: Bound) -> None:
+    def run(self, us: int, bench: Bench) -> None:
         end, done = self.now + us, 0
         while self.queue[0][0] <= end:
             self.now, _, what = heappop(self.queue)
             what()
             done += 1
             if done % CHECK_EACH == 0:
-                bound.check()
+                bench.check()
         self.now = end
 
     # --- What happens to a gateway.
@@ -131,21 +131,24 @@
                 self.tell(me, event)
 
 
-def memos(deployment: Deployment, rate: float, seed: int, bound: Bound) -> Iterator[Sample]:
+def memos(deployment: Deployment, rate: float, seed: int, bench: Bench) -> Iterator[Sample]:
     """Datagrams and bytes a second that a gateway hears, and sends, of memos; its probes a second. `rate`:
     queries a second at each gateway at least, raised where they would not pay for its part of the probes."""
     sizes = deployment.gateways, deployment.engines
     rate = max(rate, PROBES_AN_ENGINE * deployment.engines / deployment.gateways)
     play = Play(deployment, rate, seed)
     play.begin()
-    play.run(SETTLE_US, bound)
+    play.run(SETTLE_US, bench)
     play.counts[:] = [Heard() for _ in play.counts]
-    play.run(COUNT_US, bound)
+    play.run(COUNT_US, bench)
     seconds = COUNT_US / SECOND
+    probes = sum(c.probes for c in play.counts)
     for quantity, unit, values in (
         ("memo_datagrams_per_s", "datagrams/s", [c.datagrams / seconds for c in play.counts]),
         ("memo_bytes_per_s", "bytes/s", [c.bytes / seconds for c in play.counts]),
         ("memo_sent_datagrams_per_s", "datagrams/s", [c.told / seconds for c in play.counts]),
         ("probes_per_s", "count", [c.probes / seconds for c in play.counts]),
+        # Of all gateways together: what does not depend on their number.
+        ("probes_an_engine_per_s", "count", [probes / seconds / deployment.engines]),
     ):
         yield sample(quantity, unit, sizes, values, "core")
--- a/whintrail/scale/slopes_module.py
+++ b/whintrail/scale/slopes_module.py
@@ -23,7 +23,7 @@
 from whintrail.gateway.owner import Inbox, Listed
 from whintrail.scale.deployment import SECOND, Deployment
 from whintrail.scale.results import Sample, sample
-from whintrail.scale.timing import Bound, cpu_us, held_bytes
+from whintrail.scale.timing import Bench, cpu_us, held_bytes
 from whintrail.versions.lists import Lists
 
 Keep = Callable[[api.EngineList], api.EngineList]  # what of a list reaches the module
@@ -121,7 +121,7 @@
 def module(
     deployment: Deployment,
     repeats: int,
-    bound: Bound,
+    bench: Bench,
     keep: Keep = everything,
     refresh_s: float = 0.0,
 ) -> Iterator[Sample]:
@@ -130,7 +130,7 @@
     sizes = deployment.gateways, deployment.engines
 
     def took(quantity: str, work: Callable[[], object], **more: Any) -> Sample:
-        return sample(quantity, "us", sizes, cpu_us(work, repeats, bound, **more), "core")
+        return sample(quantity, "us", sizes, cpu_us(work, repeats, bench, **more), "core")
 
     held, made = held_bytes(lambda: Alone(deployment, keep))
     yield sample("module_bytes", "bytes", sizes, [float(held)], "core")
@@ -147,7 +147,7 @@
         alone.ask()
         alone.pass_time(min(MOST_APART_US, APART_US // deployment.engines))
 
-    rounds = cpu_us(alone.sweep, max(5, repeats // 2), bound, before=alone.settle, alone=True)
+    rounds = cpu_us(alone.sweep, max(5, repeats // 2), bench, before=alone.settle, alone=True)
     yield sample("module_sweep_us", "us", sizes, [figure / SWEEPS for figure in rounds], "core")
 
     def stale() -> None:
@@ -195,29 +195,29 @@
     if refresh_s < MOST_FIGURE_S:
         alone.pass_time(0)  # a list's event has the next refresh forget how engines fared
         alone.use_all()
-        first = cpu_us(alone.module._refresh, 1, bound, before=due, alone=True)[0]
+        first = cpu_us(alone.module._refresh, 1, bench, before=due, alone=True)[0]
         fewer = max(3, min(repeats, int(5e6 / max(1.0, first))))
-        figures = cpu_us(alone.module._refresh, fewer, bound, before=due, alone=True)
+        figures = cpu_us(alone.module._refresh, fewer, bench, before=due, alone=True)
         yield sample("module_refresh_us", "us", sizes, figures, "core")
 
 
-def reading(deployment: Deployment, repeats: int, bound: Bound) -> Iterator[Sample]:
+def reading(deployment: Deployment, repeats: int, bench: Bench) -> Iterator[Sample]:
     """What a gateway does with a line of the bulletin, besides the module: parsing, addresses, the digest."""
     sizes, log = (deployment.gateways, deployment.engines), Log("scale", 1.0, 1.0)
 
     def took(quantity: str, work: Callable[[], object], **more: Any) -> Sample:
-        return sample(quantity, "us", sizes, cpu_us(work, repeats, bound, **more), "core")
+        return sample(quantity, "us", sizes, cpu_us(work, repeats, bench, **more), "core")
 
     line = deployment.whole_line()
     yield sample("list_line_bytes", "bytes", sizes, [float(len(line))], "core")
     yield took("list_read_whole_us", lambda: read_listed(orjson.loads(line), log, False), alone=True)
     delta = deployment.line(2, [deployment.item(0, "leaving")], False)
     yield took("list_read_delta_us", lambda: read_listed(orjson.loads(delta), log, False))
-    yield from asyncio.run(_updates(deployment, repeats, bound, line, delta))
+    yield from asyncio.run(_updates(deployment, repeats, bench, line, delta))
 
 
 async def _updates(
-    deployment: Deployment, repeats: int, bound: Bound, line: bytes, delta: bytes
+    deployment: Deployment, repeats: int, bench: Bench, line: bytes, delta: bytes
 ) -> list[Sample]:
     sizes, log, limits = (deployment.gateways, deployment.engines), Log("scale", 1.0, 1.0), Limits.read({})
     links = Links(limits, Inbox(Clock()), Counters(), log, None, False)
@@ -238,7 +238,7 @@
     update(whole)
     try:
         return [
-            sample(quantity, "us", sizes, cpu_us(work, repeats, bound), "core")
+            sample(quantity, "us", sizes, cpu_us(work, repeats, bench), "core")
             for quantity, work in (
                 ("gateway_update_whole_us", lambda: update(whole)),
                 ("gateway_update_delta_us", lambda: update(one)),
--- a/whintrail/scale/timing.py
+++ b/whintrail/scale/timing.py
@@ -1,16 +1,23 @@
-"""Processor time and memory of one piece of work, and the bounds within which a measurement stays."""
+"""Processor time and memory of one piece of work, and the bounds within which a measurement stays.
+
+Two threads of a core that run at once slow each other by a half, and other programs come and go. So a fixed
+piece of work, `spin`, runs right before and after each figure, and the figure is divided by how much slower
+than at its fastest that was: it is what the work takes on a core that nobody else uses.
+"""
 
 import gc
+import math
 import resource
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 import psutil  # type: ignore[import-untyped]
 
+SPINS_S = 0.4  # to learn how fast the machine is when nothing disturbs it
 LEAST_US = 300.0  # of processor time a figure: below, the clock's own cost would show
 MOST_TIMES = 2000
 T = TypeVar("T")
@@ -20,12 +27,37 @@
     """The time or the memory that was allowed is used up; the text says which, in one line."""
 
 
+def spin() -> int:
+    """A piece of Python that is always the same."""
+    return sum(number * number for number in range(3_000))
+
+
 @dataclass(slots=True)
-class Bound:
+class Bench:
     """`until` by time.monotonic(); memory is the resident memory of this process."""
 
     until: float
     memory_mb: float
+    fastest_us: float = math.inf  # that `spin` has taken
+    slow: list[float] = field(default_factory=list)  # each time it ran: how much slower than that
+
+    def __post_init__(self) -> None:
+        began = time.monotonic()
+        while time.monotonic() - began < SPINS_S:
+            self.fastest_us = min(self.fastest_us, _took_us(spin, 1))
+
+    def slower(self) -> float:
+        """How many times slower than at its fastest the machine is now."""
+        now_us = min(_took_us(spin, 1), _took_us(spin, 1))  # of two: an interrupt is not the machine's pace
+        self.fastest_us = min(self.fastest_us, now_us)
+        self.slow.append(now_us / self.fastest_us)
+        return self.slow[-1]
+
+    def fair(self, work: Callable[[], float]) -> float:
+        """A time that `work` gives, as on an undisturbed core."""
+        before = self.slower()
+        took = work()
+        return took / ((before + self.slower()) / 2)
 
     def check(self) -> None:
         """Errors: BoundError."""
@@ -39,7 +71,7 @@
 def cpu_us(
     work: Callable[[], object],
     repeats: int,
-    bound: Bound,
+    bench: Bench,
     before: Callable[[], object] | None = None,
     alone: bool = False,
 ) -> list[float]:
@@ -56,10 +88,10 @@
             times *= 4
     figures = []
     for _ in range(repeats):
-        bound.check()
+        bench.check()
         if before is not None:
             before()
-        figures.append(_took_us(work, times) / times)
+        figures.append(bench.fair(lambda: _took_us(work, times) / times))
     return figures
 
 
