--- /dev/null
+++ b/whintrail/scale/capacity.py
@@ -0,0 +1,315 @@
+"""The capacity model: what each row of the table by role comes to at a size, held against its budget. Pure.
+
+A row is measured slopes (`fitting.py`) times the paces of the program (`inputs.py`), as a function of a size.
+A figure that was not measured is not guessed: the row says which is missing. Ranges are added up end to end,
+as if all were off the same way; that is wider than independent errors would give.
+"""
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import cache
+from typing import Literal
+
+from whintrail.scale import inputs
+from whintrail.scale.fitting import Fit, FitError, fit
+from whintrail.scale.results import Kind, Sample
+
+Grows = Literal["engines", "gateways"]
+Along = Literal["engines", "gateways", "both", "neither"]
+Stat = Literal["value", "high"]
+BEYOND = 10.0  # sizes are looked through up to so many times the one that is coming
+
+
+class NotMeasured(LookupError):
+    """No file has the quantity at two sizes or more; the text names it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """A figure with the range in which a measurement would be found, at 95%."""
+
+    value: float
+    low: float
+    high: float
+
+    def __add__(self, other: "Estimate") -> "Estimate":
+        return Estimate(self.value + other.value, self.low + other.low, self.high + other.high)
+
+    def __mul__(self, by: float) -> "Estimate":
+        """By a figure of at least 0."""
+        return Estimate(self.value * by, self.low * by, self.high * by)
+
+
+def exactly(value: float) -> Estimate:
+    return Estimate(value, value, value)
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Which measured quantity, over which size; `high`: its 95th or 99th hundredth, not its median."""
+
+    quantity: str
+    grows_with: Grows
+    kind: Kind | None = None
+    role: str | None = None
+    note: str | None = None
+    stat: Stat = "value"
+
+
+class Figures:
+    """Fits of all samples, each made once. `subset`: engines that each gateway keeps; 0: all."""
+
+    def __init__(self, samples: Sequence[Sample], subset: int = 0) -> None:
+        self.samples, self.subset = list(samples), subset
+        self.fits: dict[Use, Fit | None] = {}
+
+    def fit(self, use: Use) -> Fit:
+        """Errors: NotMeasured."""
+        if use not in self.fits:
+            samples = [s for s in self.samples if s.quantity == use.quantity]
+            if use.stat == "high":
+                samples = [_at_high(s) for s in samples]
+            given = {"kind": use.kind, "role": use.role, "subset": self.subset, "note": use.note}
+            try:
+                self.fits[use] = fit(samples, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
+            except FitError:
+                self.fits[use] = None
+        if (found := self.fits[use]) is None:
+            raise NotMeasured(use.quantity)
+        return found
+
+
+def _at_high(s: Sample) -> Sample:
+    return Sample(
+        quantity=s.quantity,
+        unit=s.unit,
+        gateways=s.gateways,
+        engines=s.engines,
+        value=s.high,
+        low=s.high,
+        high=s.high,
+        n=s.n,
+        kind=s.kind,
+        role=s.role,
+        day=s.day,
+        subset=s.subset,
+        note=s.note,
+    )
+
+
+@dataclass(slots=True)
+class Size:
+    """So many gateways before so many engines; remembers which measured quantities were asked for."""
+
+    gateways: float
+    engines: float
+    figures: Figures
+    used: list[Use] = field(default_factory=list)
+
+    def measured(
+        self,
+        quantity: str,
+        grows_with: Grows,
+        *,
+        kind: Kind | None = None,
+        role: str | None = None,
+        note: str | None = None,
+        stat: Stat = "value",
+    ) -> Estimate:
+        """Errors: NotMeasured."""
+        use = Use(quantity, grows_with, kind, role, note, stat)
+        if use not in self.used:
+            self.used.append(use)
+        x = self.engines if grows_with == "engines" else self.gateways
+        value, low, high = self.figures.fit(use).at(x)
+        return Estimate(max(0.0, value), max(0.0, low), max(0.0, high))
+
+    def slope(self, quantity: str, grows_with: Grows, kind: Kind | None = None) -> Estimate:
+        """What one engine or gateway more adds, of a line. Errors: NotMeasured."""
+        use = Use(quantity, grows_with, kind)
+        if use not in self.used:
+            self.used.append(use)
+        found = self.figures.fit(use)
+        return Estimate(found.slope, found.slope - 2 * found.slope_error, found.slope + 2 * found.slope_error)
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure of one role. `budget` None: nobody has set one."""
+
+    key: str  # names it in files and in the ranking
+    role: str
+    what: str
+    unit: str
+    along: Along
+    value: Callable[[Size], Estimate]
+    budget: float | None
+    budget_name: str
+    place: str  # file and name of what carries it today; "" where nothing does
+    formula: str  # slope x what it grows with, in words, where paces come in
+    setting: str = ""  # what mends it where nothing is missing but a setting: not ranked
+    total: bool = False  # a sum of other rows, which are ranked themselves
+
+
+@dataclass(frozen=True, slots=True)
+class Crossing:
+    """The smallest size at which a budget is passed; None: at none up to `BEYOND` times the coming size."""
+
+    size: float | None  # engines or gateways; of both: gateways
+    share: float  # of the way from today's size to the one that is coming; inf: at none; never below 0
+    earliest: float | None  # by the upper end of the range
+    latest: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What a row comes to."""
+
+    row: Row
+    value: Estimate | None
+    missing: str  # the quantity that was not measured; empty where none is
+    crossing: Crossing | None
+    used: tuple[Use, ...]
+
+    @property
+    def passed(self) -> bool:
+        """At the size that it was reckoned at."""
+        return self.value is not None and self.row.budget is not None and self.value.value > self.row.budget
+
+    @property
+    def share(self) -> float | None:
+        """Of the budget that is used."""
+        return self.value.value / self.row.budget if self.value is not None and self.row.budget else None
+
+
+def today() -> tuple[float, float]:
+    return inputs.value("gateways_today"), inputs.value("engines_today")
+
+
+def coming() -> tuple[float, float]:
+    return inputs.value("gateways"), inputs.value("engines")
+
+
+def on_the_way(share: float) -> tuple[float, float]:
+    """Gateways and engines at a share of the way from today's size to the one that is coming."""
+    (g0, e0), (g1, e1) = today(), coming()
+    return max(1.0, g0 + share * (g1 - g0)), max(1.0, e0 + share * (e1 - e0))
+
+
+def share_of_way(along: Along, size: float) -> float:
+    """Where a size lies between today's and the one that is coming; 0 where it is today's or below."""
+    place = 1 if along == "engines" else 0
+    begin, end = today()[place], coming()[place]
+    return max(0.0, (size - begin) / (end - begin))
+
+
+def _sizes(along: Along) -> Callable[[float], tuple[float, float]]:
+    gateways, engines = coming()
+    if along == "engines":
+        return lambda x: (gateways, x)
+    if along == "gateways":
+        return lambda x: (x, engines)
+    return lambda x: on_the_way((x - today()[0]) / (gateways - today()[0]))
+
+
+def crossing(row: Row, figures: Figures) -> Crossing:
+    """Errors: NotMeasured; ValueError where the row has no budget."""
+    if row.budget is None:
+        raise ValueError(f"{row.key}: no budget")
+    if row.along == "neither":
+        found = row.value(Size(*coming(), figures))
+        over = found.value > row.budget
+        size = 0.0 if over else None
+        return Crossing(size, 0.0 if over else math.inf, size, size)
+    to_size = _sizes(row.along)
+
+    def passes(x: float, which: str) -> bool:
+        assert row.budget is not None
+        return float(getattr(row.value(Size(*to_size(x), figures)), which)) > row.budget
+
+    most = BEYOND * coming()[1 if row.along == "engines" else 0]
+    found_at = {which: _first(lambda x, w=which: passes(x, w), most) for which in ("value", "high", "low")}  # type: ignore[misc]
+    size = found_at["value"]
+    share = math.inf if size is None else share_of_way(row.along, size)
+    return Crossing(size, share, found_at["high"], found_at["low"])
+
+
+def _first(passes: Callable[[float], bool], most: float) -> float | None:
+    """The smallest size that passes, of a figure that rises; sizes from 1 on."""
+    steps = 240
+    grid = [math.exp(math.log(most) * place / steps) for place in range(steps + 1)]
+    place = next((place for place, x in enumerate(grid) if passes(x)), None)
+    if place is None:
+        return None
+    if place == 0:
+        return 1.0
+    low, high = grid[place - 1], grid[place]
+    while high - low > 1e-4 * high:
+        middle = (low + high) / 2
+        low, high = (low, middle) if passes(middle) else (middle, high)
+    return high
+
+
+def find(row: Row, figures: Figures, size: tuple[float, float] | None = None) -> Found:
+    at = Size(*(size or coming()), figures)
+    try:
+        value = row.value(at)
+        where = crossing(row, figures) if row.budget is not None else None
+    except NotMeasured as error:
+        return Found(row, None, str(error), None, tuple(at.used))
+    return Found(row, value, "", where, tuple(at.used))
+
+
+# --- The ranking.
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A mechanism that is missing, the rows that it would carry, and why it would."""
+
+    name: str
+    carries: Mapping[str, str]  # a row's key: the reason
+    in_part: Mapping[str, str]  # the same, of rows that it eases; they are not counted
+    sources: str  # published ones
+
+
+@dataclass(frozen=True, slots=True)
+class Rank:
+    candidate: Candidate
+    first: Found  # of the failing rows that it carries, the one that fails at the smallest size
+    failing: tuple[Found, ...]  # all of them, the first to fail first
+
+    @property
+    def share(self) -> float:
+        assert self.first.crossing is not None
+        return self.first.crossing.share
+
+
+def failing(found: Sequence[Found]) -> list[Found]:
+    """Rows whose budget is passed on the way to the size that is coming, the first ones first; rows that fail
+    at today's size already are equals and stay in the table's order. Sums, and what a setting mends, are left
+    out: a mechanism would count twice by the first and for nothing by the second."""
+    late = [f for f in found if f.crossing is not None and f.crossing.share <= 1.0]
+    late = [f for f in late if not f.row.total and not f.row.setting]
+    return sorted(late, key=lambda f: f.crossing.share if f.crossing is not None else math.inf)
+
+
+def ranking(found: Sequence[Found], candidates: Sequence[Candidate]) -> list[Rank]:
+    """By the smallest size at which a row that it carries fails; of equals, who carries more failing rows."""
+    late = failing(found)
+    ranks = []
+    for candidate in candidates:
+        carried = tuple(f for f in late if f.row.key in candidate.carries)
+        if carried:
+            ranks.append(Rank(candidate, carried[0], carried))
+    return sorted(ranks, key=lambda rank: (rank.share, -len(rank.failing)))
+
+
+# --- Paces that several rows share.
+
+
+@cache
+def per_s(name: str) -> float:
+    """An input counted a day, a second of it in the mean."""
+    return inputs.value(name) / 86_400
--- /dev/null
+++ b/whintrail/scale/inputs.py
@@ -0,0 +1,145 @@
+"""Every figure that the capacity model takes as given: the operators', assumed ones, and the program's own.
+
+Nothing here is measured: that stands in docs/capacity/*.json. The program's own paces and bounds are read off
+the code that uses them, so that the model can't fall behind it.
+"""
+
+from collections.abc import Mapping
+from typing import Literal
+
+from msgspec import Struct
+
+from whintrail import brain
+from whintrail.config.records import Fleet
+from whintrail.fleet.council import CouncilPace
+from whintrail.fleet.membership import Pace
+from whintrail.fleet.node import REPORT_US, RETELLS
+from whintrail.fleet.replica import KEPT, MOST_PIECES
+from whintrail.fleet.state import MOST_SLOTS
+from whintrail.fleet.wire import PIECE
+from whintrail.gateway.fleet import TURN_S
+from whintrail.gateway.limits import Limits
+from whintrail.versions.member import VersionPace
+
+Source = Literal["operators", "assumed", "program"]
+
+
+class Input(Struct, frozen=True):
+    name: str
+    unit: str
+    value: float
+    source: Source
+    reason: str
+
+
+def _given(name: str, unit: str, value: float, reason: str) -> Input:
+    return Input(name, unit, value, "operators", reason)
+
+
+def _assumed(name: str, unit: str, value: float, reason: str) -> Input:
+    return Input(name, unit, value, "assumed", reason)
+
+
+def _own(name: str, unit: str, value: float, reason: str) -> Input:
+    return Input(name, unit, value, "program", reason)
+
+
+SOCKETS, MEMORY_MB = 1024, 192  # the most that the platform gives a gateway
+LIMITS = Limits.read({"limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB}, "settings": {}})
+FLEET, VERSIONS, MEMBERSHIP, COUNCIL = Fleet(name="x", council=(0,)), VersionPace(), Pace(), CouncilPace()
+
+ALL = (
+    _given("gateways", "count", 4000, "the size that is coming"),
+    _given("engines", "count", 15_000, "the same; they say databases"),
+    _given("gateways_today", "count", 200, "where the way begins"),
+    _given("engines_today", "count", 80, "where the way begins"),
+    _given("client_connections", "count", 8_200_000, "over all gateways"),
+    _given("statements_per_s", "1/s", 5_800_000, "over all gateways"),
+    _given("primary_changes_a_day", "1/day", 26, "each over within primary_change_s"),
+    _given("primary_change_s", "s", 5, "the same"),
+    _given("regions", "count", 9, "with zones zones between them"),
+    _given("zones", "count", 19, "a zone is a nineteenth of everything"),
+    _given("changes_a_day", "1/day", 64_000, "of configuration; each in force everywhere within in_force_s"),
+    _given("in_force_s", "s", 3, "the same"),
+    _given("control_cpu", "share", 0.014, "of a core, for all of a gateway's control"),
+    _given("control_memory_mb", "MB", 64, "for all of a gateway's control"),
+    _given("control_bytes_per_s", "bytes/s", 4096, "4 KB/s, taken as in and out together"),
+    _given("control_machines", "count", 26, "set aside for control"),
+    _given("failures_a_day", "1/day", 21, "machines, on an ordinary day"),
+    _given("restarts_a_day", "1/day", 1800, "machines restarted or replaced"),
+    _given("rack", "count", 40, "machines that go at once with a rack or a switch"),
+    _given("cut_s", "s", 3600, "for so long regions lose each other"),
+    _assumed("peak_over_mean", "ratio", 2.0, "busiest hour over the day's mean; the operators gave means"),
+    _assumed("burst", "ratio", 10.0, "changes of configuration over their mean, by the letter"),
+    _assumed("burst_s", "s", 600, "how long a burst lasts: a deployment of ten minutes"),
+    _assumed("rtt_zone_s", "s", 0.0005, "within a region, between zones: tens of kilometres of fibre"),
+    _assumed(
+        "rtt_region_s", "s", 0.15, "between regions, the farthest pair: light in fibre half round the globe"
+    ),
+    _assumed("datagram_overhead", "bytes", 28, "IPv4 without options 20 (RFC 791), UDP 8 (RFC 768)"),
+    _assumed("segment_overhead", "bytes", 52, "IPv4 20, TCP 20 (RFC 9293), timestamps 12 (RFC 7323)"),
+    _assumed(
+        "control_machine_cores", "count", 16, "a small server; the operators gave a number of machines only"
+    ),
+    _assumed("control_machine_gbit_per_s", "Gbit/s", 10, "a small server's network"),
+    _assumed("bulletin_gbit_per_s", "Gbit/s", 10, "the bulletin's machine is one like them"),
+    _assumed("data_path_cores", "share", 1.0, "a gateway is one process with one loop"),
+    _assumed("entry_commands", "count", 3, "a change of settings: proposed, enters, settles"),
+    _assumed(
+        "out_share", "share", 0.05, "of the gateways that may be out at once: `out` of the example file"
+    ),
+    _assumed("out_zone_share", "share", 0.1, "the same in a zone"),
+    _assumed("restart_s", "s", 30, "from the end of a process to its successor's start"),
+    _own("proven_s", "s", FLEET.proven_s, "a new process has to have served so long"),
+    _own("check_s", "s", VERSIONS.check_us / 1e6, "for all to say whether they can act on a proposal"),
+    _own("refresh_per_s", "1/s", 1e6 / brain.REFRESH_US, "brain.REFRESH_US: while work is out"),
+    _own("sweep_per_s", "1/s", 1e6 / brain.SWEEP_US, "brain.SWEEP_US"),
+    _own("turns_per_s", "1/s", 1 / TURN_S, "gateway/fleet.TURN_S"),
+    _own(
+        "probe_shared_s", "s", brain.PROBE_SHARED_US / 1e6, "an engine is asked so often by the whole fleet"
+    ),
+    _own("silent_s", "s", brain.SILENT_US / 1e6, "silence of an engine before it is given up, at least"),
+    _own("lease_s", "s", VERSIONS.lease_us / 1e6, "VersionPace: a rule holds so long from the asking"),
+    _own(
+        "lease_asks_per_s",
+        "1/s",
+        1e6 / VERSIONS.ask_us,
+        "VersionPace, a gateway; what is new is asked at once",
+    ),
+    _own("stated_s", "s", VERSIONS.stated_us / 1e6, "T of docs/versions.md"),
+    _own("election_s", "s", (COUNCIL.election_us + COUNCIL.spread_us) / 1e6, "without a leader, at most"),
+    _own("beats_per_s", "1/s", 1e6 / COUNCIL.beat_us, "of the leader to each of the council"),
+    _own("retells", "count", RETELLS, "what is decided is told to all so often"),
+    _own(
+        "reports_per_s", "1/s", 1e6 / REPORT_US, "a gateway's to the leader, while it has something to decide"
+    ),
+    _own("entries_kept", "count", KEPT, "a replica can tell these again; past them the whole state goes"),
+    _own("state_most_bytes", "bytes", MOST_PIECES * PIECE, "the longest state that a newcomer can be told"),
+    _own("slots_most", "count", MOST_SLOTS, "that the agreed state holds"),
+    _own(
+        "answer_slack_ms",
+        "ms",
+        LIMITS.answer_slack_us / 1e3,
+        "a longer stand of the loop makes final answers late",
+    ),
+    _own("bulletin_line_bytes", "bytes", LIMITS.bulletin_line_bytes, "a longer line is refused"),
+    _own(
+        "client_limit",
+        "count",
+        LIMITS.client_connections,
+        f"45% of {SOCKETS} descriptors, the platform's most",
+    ),
+    _own("link_limit", "count", LIMITS.engine_connections, f"35% of {SOCKETS} descriptors"),
+    _own("keepalive_s", "s", LIMITS.idle_link_s, "an idle link to an engine stays so long"),
+    _own("memory_mb", "MB", MEMORY_MB, "of a gateway in all: the platform's most"),
+    _own(
+        "messages_per_s", "1/s", FLEET.messages_per_s, "a gateway's fleet datagrams out, as the setting comes"
+    ),
+)
+
+BY_NAME: Mapping[str, Input] = {given.name: given for given in ALL}
+
+
+def value(name: str) -> float:
+    """Errors: KeyError where there is no such input."""
+    return BY_NAME[name].value
--- /dev/null
+++ b/whintrail/scale/rows.py
@@ -0,0 +1,816 @@
+"""The table by role as data: each row's slope x what it grows with, its budget, and what carries it
+today. Pure."""
+
+import math
+
+from whintrail.fleet.state import Propose, Settle
+from whintrail.fleet.wire import Any_, Entry, LeaseAsk, LeaseTell, Report, Told, encode
+from whintrail.scale.capacity import Estimate, Row, Size, exactly, per_s
+from whintrail.scale.inputs import value as given
+
+MB = 1 << 20
+DATA, CONTROL, ENGINE = "gateway, data path", "gateway, control", "engine"
+MEMBER, LEADER = "council: member", "council: leader"
+BULLETIN, MACHINE, COMMAND = "bulletin", "control machine", "operator's command"
+ROLES = (DATA, CONTROL, ENGINE, MEMBER, LEADER, BULLETIN, MACHINE, COMMAND)
+
+CHANGES = per_s("changes_a_day")
+CPU, BYTES, MEMORY = given("control_cpu"), given("control_bytes_per_s"), given("control_memory_mb") * MB
+IN_FORCE, PRIMARY = given("in_force_s"), given("primary_change_s")
+RETELLS, ENTRIES, ASKS = given("retells"), given("entry_commands"), given("lease_asks_per_s")
+SLACK_MS = given("answer_slack_ms")
+STATEMENTS = given("statements_per_s") / given("gateways")  # a gateway, in the mean
+CLIENTS = given("client_connections") / given("gateways")
+
+
+def datagram(message: Any_) -> float:
+    """Bytes on the wire, encoded as the program does, with the heads of IPv4 and UDP."""
+    return len(encode(0xFFFFFFFF, 0xFFF, 0xFFFFFFFF, 0xFFFFFFFF, message)) + given("datagram_overhead")
+
+
+U32, U64, EPOCH = 0xFFFFFFF0, (1 << 62) - 1, 1 << 33
+LEASE_ASK = datagram(LeaseAsk(U32, U32, False, U64, ""))
+LEASE_TELL = datagram(LeaseTell(U32, U32, False, 1200))
+TOLD = datagram(Told(EPOCH, U32, U32, 3999, (Entry(U32, 9, Settle(U32)),)))
+PROPOSED = datagram(Told(EPOCH, U32, U32, 3999, (Entry(U32, 9, Propose(U32, U64, 3999, "w" * 16, EPOCH)),)))
+REPORT = datagram(Report(EPOCH, 9, U32, "b42", 3, U32, 0, (), ((U32, 9, 9, 9),) * 4))
+TOLD_CHANGE = PROPOSED + (ENTRIES - 1) * TOLD  # the entries of one change of settings, told once
+
+
+def share(us: Estimate, times_per_s: float) -> Estimate:
+    """Of one core, of something that takes so many microseconds."""
+    return us * (times_per_s / 1e6)
+
+
+# --- Gateway, data path.
+
+
+def _links(s: Size) -> Estimate:
+    """Engines that statements drawn evenly reach within the time that an idle link is kept."""
+    drawn = STATEMENTS * given("keepalive_s")
+    return exactly(s.engines * -math.expm1(-drawn / s.engines))
+
+
+def _statement(s: Size) -> Estimate:
+    each = s.measured("query_cpu_us", "engines", kind="real")
+    return share(each, STATEMENTS * given("peak_over_mean"))
+
+
+def _choose(s: Size) -> Estimate:
+    return share(s.measured("module_choose_us", "engines"), STATEMENTS)
+
+
+def _whole_list_ms(s: Size) -> Estimate:
+    read = s.measured("list_read_whole_us", "engines")
+    return (read + s.measured("module_list_whole_us", "engines")) * 1e-3
+
+
+# --- Gateway, control.
+
+
+def _refresh(s: Size) -> Estimate:
+    return share(s.measured("module_refresh_us", "engines"), given("refresh_per_s"))
+
+
+def _sweep(s: Size) -> Estimate:
+    return share(s.measured("module_sweep_us", "engines"), given("sweep_per_s"))
+
+
+def _deltas(s: Size) -> Estimate:
+    return share(s.measured("module_list_delta_us", "engines"), CHANGES)
+
+
+def _memo_cpu(s: Size) -> Estimate:
+    heard = s.measured("memo_datagrams_per_s", "engines")
+    each = s.measured("module_memo_us", "engines")
+    return Estimate(*(h * us / 1e6 for h, us in zip(_three(heard), _three(each), strict=True)))
+
+
+def _three(e: Estimate) -> tuple[float, float, float]:
+    return e.value, e.low, e.high
+
+
+def _node_cpu(s: Size) -> Estimate:
+    return share(s.measured("node_tick_us", "gateways", role="gateway"), given("turns_per_s"))
+
+
+def _member_cpu(s: Size) -> Estimate:
+    return share(s.measured("membership_tick_us", "gateways"), given("turns_per_s"))
+
+
+def _cpu_sum(s: Size) -> Estimate:
+    return _refresh(s) + _sweep(s) + _deltas(s) + _memo_cpu(s) + _node_cpu(s)
+
+
+def _delta_bytes(s: Size) -> Estimate:
+    return (s.slope("list_line_bytes", "engines") + exactly(given("segment_overhead"))) * CHANGES
+
+
+def _memo_bytes(s: Size) -> Estimate:
+    return s.measured("memo_bytes_per_s", "engines")
+
+
+def _member_bytes(s: Size) -> Estimate:
+    return s.measured("member_bytes_per_s", "gateways", role="gateway")
+
+
+def _told_bytes(s: Size) -> Estimate:
+    return exactly(TOLD_CHANGE * RETELLS * CHANGES)
+
+
+def _bytes_sum(s: Size) -> Estimate:
+    return _memo_bytes(s) + _member_bytes(s) + _delta_bytes(s) + _told_bytes(s)
+
+
+def _memory_sum(s: Size) -> Estimate:
+    return s.measured("module_bytes", "engines") + s.measured("node_bytes", "gateways", role="gateway")
+
+
+def _one_after_another(s: Size) -> Estimate:
+    return s.measured("version_in_force_s", "gateways", note="one after another") * CHANGES
+
+
+# --- The leader.
+
+
+def _lease_cpu(s: Size) -> Estimate:
+    each = s.measured("node_take_us", "gateways", role="leader")
+    return share(each, ASKS * s.gateways)
+
+
+def _leader_net(s: Size) -> Estimate:
+    a_gateway = ASKS * (LEASE_ASK + LEASE_TELL) + RETELLS * CHANGES * TOLD_CHANGE
+    a_gateway += given("reports_per_s") * REPORT
+    return exactly(a_gateway * s.gateways * 8 / 1e9 / given("control_machine_gbit_per_s"))
+
+
+def _told_out(s: Size) -> Estimate:
+    return exactly(RETELLS * ENTRIES * CHANGES * s.gateways)
+
+
+# --- The bulletin.
+
+
+def _change_out(s: Size) -> Estimate:
+    bits = (s.slope("list_line_bytes", "engines") + exactly(given("segment_overhead"))) * 8
+    return bits * (CHANGES * s.gateways / 1e9 / given("bulletin_gbit_per_s"))
+
+
+def _lists_out(s: Size) -> Estimate:
+    line = s.measured("list_line_bytes", "engines")
+    return line * (8 * s.gateways / 1e9 / given("bulletin_gbit_per_s"))
+
+
+CORE, CORE_NAME = 1.0, "a core: one process, one loop"
+CPU_NAME, BYTES_NAME, MEMORY_NAME = "1.4% of a core", "4 KB/s", "64 MB"
+BRAIN = "whintrail/brain.py:Gateway."
+
+ROWS: tuple[Row, ...] = (
+    Row(
+        "choose_cpu",
+        DATA,
+        "choosing an engine, its sums rebuilt",
+        "share",
+        "engines",
+        _choose,
+        given("data_path_cores") - CPU,
+        "a core less control's 1.4%",
+        BRAIN + "_choose",
+        f"module_choose_us x {STATEMENTS:,.0f} statements/s",
+    ),
+    Row(
+        "statement_cpu",
+        DATA,
+        "a statement in all, at the peak",
+        "share",
+        "engines",
+        _statement,
+        given("data_path_cores") - CPU,
+        "a core less control's 1.4%",
+        "whintrail/gateway/owner.py:Owner._asked",
+        f"query_cpu_us x {STATEMENTS:,.0f}/s x peak {given('peak_over_mean'):g}",
+    ),
+    Row(
+        "refresh_stand",
+        DATA,
+        "a query that meets `_refresh` waits",
+        "ms",
+        "engines",
+        lambda s: s.measured("module_refresh_us", "engines") * 1e-3,
+        SLACK_MS,
+        "the slack of a final answer",
+        BRAIN + "_refresh",
+        "module_refresh_us, in one go",
+    ),
+    Row(
+        "delta_stand",
+        DATA,
+        "a query that meets a list event waits",
+        "ms",
+        "engines",
+        lambda s: s.measured("module_list_delta_us", "engines") * 1e-3,
+        SLACK_MS,
+        "the slack of a final answer",
+        BRAIN + "_listed",
+        "module_list_delta_us, in one go",
+    ),
+    Row(
+        "whole_list_stand",
+        DATA,
+        "a query that meets a whole list waits",
+        "ms",
+        "engines",
+        _whole_list_ms,
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/gateway/bulletin.py:read_listed",
+        "list_read_whole_us + module_list_whole_us, in one go",
+    ),
+    Row(
+        "clients",
+        DATA,
+        "clients' connections, a descriptor each",
+        "count",
+        "neither",
+        lambda s: exactly(CLIENTS),
+        given("client_limit"),
+        "45% of 1,024 descriptors",
+        "whintrail/gateway/limits.py:Limits.read",
+        "client connections / gateways",
+        "sockets",
+    ),
+    Row(
+        "links",
+        DATA,
+        "links to engines, at most (draws even)",
+        "count",
+        "engines",
+        _links,
+        given("link_limit"),
+        "35% of 1,024 descriptors",
+        "whintrail/gateway/links.py:Links",
+        "engines x (1 - e^(-statements in the keepalive / engines))",
+        "sockets",
+    ),
+    Row(
+        "client_memory",
+        DATA,
+        "memory of clients' connections",
+        "bytes",
+        "neither",
+        lambda s: s.measured("memory_a_connection_bytes", "gateways", kind="real") * CLIENTS,
+        given("memory_mb") * MB,
+        "192 MB, the platform's most",
+        "whintrail/gateway/sessions.py:Session",
+        "memory_a_connection_bytes x connections a gateway",
+        "memory",
+    ),
+    Row(
+        "refresh_cpu",
+        CONTROL,
+        "the module's `_refresh`",
+        "share",
+        "engines",
+        _refresh,
+        CPU,
+        CPU_NAME,
+        BRAIN + "_refresh",
+        f"module_refresh_us x {given('refresh_per_s'):g}/s",
+    ),
+    Row(
+        "sweep_cpu",
+        CONTROL,
+        "the module's sweep without it",
+        "share",
+        "engines",
+        _sweep,
+        CPU,
+        CPU_NAME,
+        BRAIN + "_timer",
+        f"module_sweep_us x {given('sweep_per_s'):g}/s",
+    ),
+    Row(
+        "delta_cpu",
+        CONTROL,
+        "list events, one change each",
+        "share",
+        "engines",
+        _deltas,
+        CPU,
+        CPU_NAME,
+        BRAIN + "_listed",
+        f"module_list_delta_us x {CHANGES:.2f}/s",
+    ),
+    Row(
+        "memo_cpu",
+        CONTROL,
+        "memos of probes, taken in",
+        "share",
+        "engines",
+        _memo_cpu,
+        CPU,
+        CPU_NAME,
+        BRAIN + "_told",
+        "memo_datagrams_per_s x module_memo_us",
+    ),
+    Row(
+        "member_cpu",
+        CONTROL,
+        "membership's turns",
+        "share",
+        "gateways",
+        _member_cpu,
+        CPU,
+        CPU_NAME,
+        "whintrail/fleet/membership.py:Membership.tick",
+        f"membership_tick_us x {given('turns_per_s'):g}/s",
+    ),
+    Row(
+        "node_cpu",
+        CONTROL,
+        "the fleet's node, turns (membership's too)",
+        "share",
+        "gateways",
+        _node_cpu,
+        CPU,
+        CPU_NAME,
+        "whintrail/fleet/node.py:Node.tick",
+        f"node_tick_us x {given('turns_per_s'):g}/s",
+    ),
+    Row(
+        "cpu_sum",
+        CONTROL,
+        "processor time of all of these",
+        "share",
+        "both",
+        _cpu_sum,
+        CPU,
+        CPU_NAME,
+        "whintrail/brain.py:Gateway",
+        "refresh + sweep + list events + memos + node",
+        total=True,
+    ),
+    Row(
+        "hollow_cpu",
+        CONTROL,
+        "processor time of a hollow gateway, measured",
+        "share",
+        "engines",
+        lambda s: s.measured("control_cpu_share", "engines", kind="hollow", role="gateway"),
+        CPU,
+        CPU_NAME,
+        "whintrail/brain.py:Gateway",
+        "control_cpu_share over engines",
+        total=True,
+    ),
+    Row(
+        "memo_datagrams",
+        CONTROL,
+        "memos heard",
+        "datagrams/s",
+        "engines",
+        lambda s: s.measured("memo_datagrams_per_s", "engines"),
+        None,
+        "",
+        BRAIN + "_probed",
+        "memo_datagrams_per_s",
+    ),
+    Row(
+        "memo_bytes",
+        CONTROL,
+        "memos heard",
+        "bytes/s",
+        "engines",
+        _memo_bytes,
+        BYTES,
+        BYTES_NAME,
+        BRAIN + "_probed",
+        "memo_bytes_per_s",
+    ),
+    Row(
+        "member_bytes",
+        CONTROL,
+        "the fleet's datagrams, in and out",
+        "bytes/s",
+        "gateways",
+        _member_bytes,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/fleet/node.py:Node.flush",
+        "member_bytes_per_s",
+    ),
+    Row(
+        "delta_bytes",
+        CONTROL,
+        "list events, if all changes were those",
+        "bytes/s",
+        "neither",
+        _delta_bytes,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/gateway/bulletin.py:Bulletin.take_line",
+        f"(list_line_bytes an engine + 52) x {CHANGES:.2f}/s",
+    ),
+    Row(
+        "told_bytes",
+        CONTROL,
+        "what is decided, if all were settings",
+        "bytes/s",
+        "neither",
+        _told_bytes,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/fleet/node.py:Node._retell",
+        f"{TOLD_CHANGE:.0f} bytes of {ENTRIES:g} entries x {RETELLS:g} tellings x {CHANGES:.2f}/s",
+    ),
+    Row(
+        "bytes_sum",
+        CONTROL,
+        "bytes of all of these",
+        "bytes/s",
+        "both",
+        _bytes_sum,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/gateway/peers.py:Peers",
+        "memos + fleet + list events + decided",
+        total=True,
+    ),
+    Row(
+        "module_memory",
+        CONTROL,
+        "the module's state of engines",
+        "bytes",
+        "engines",
+        lambda s: s.measured("module_bytes", "engines"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/state.py:Engine",
+        "module_bytes",
+    ),
+    Row(
+        "node_memory",
+        CONTROL,
+        "the node's state of gateways",
+        "bytes",
+        "gateways",
+        lambda s: s.measured("node_bytes", "gateways", role="gateway"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/fleet/node.py:Node",
+        "node_bytes",
+    ),
+    Row(
+        "memory_sum",
+        CONTROL,
+        "memory of both",
+        "bytes",
+        "both",
+        _memory_sum,
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/state.py:Engine",
+        "module_bytes + node_bytes",
+        total=True,
+    ),
+    Row(
+        "list_line",
+        CONTROL,
+        "a whole list in one line of the bulletin",
+        "bytes",
+        "engines",
+        lambda s: s.measured("list_line_bytes", "engines"),
+        given("bulletin_line_bytes"),
+        "1 MiB: a longer line is refused",
+        "whintrail/gateway/bulletin.py:Bulletin._follow",
+        "list_line_bytes",
+    ),
+    Row(
+        "version_in_force",
+        CONTROL,
+        "a change in force on all, p99",
+        "s",
+        "gateways",
+        lambda s: s.measured("version_in_force_s", "gateways", note="one after another", stat="high"),
+        IN_FORCE,
+        "3 s",
+        "whintrail/versions/guide.py:Guide.tick",
+        "version_in_force_s, its 99th hundredth",
+    ),
+    Row(
+        "versions_queue",
+        CONTROL,
+        "changes one after another, share of the day",
+        "share",
+        "gateways",
+        _one_after_another,
+        1.0,
+        "the whole day",
+        "whintrail/versions/guide.py:Guide.tick",
+        f"version_in_force_s x {CHANGES:.2f}/s",
+    ),
+    Row(
+        "list_apply",
+        CONTROL,
+        "a list event held by all, p99",
+        "s",
+        "gateways",
+        lambda s: s.measured("list_apply_s", "gateways", stat="high"),
+        IN_FORCE,
+        "3 s",
+        "whintrail/gateway/bulletin.py:Bulletin.take_line",
+        "list_apply_s, its 99th hundredth",
+    ),
+    Row(
+        "removal_known",
+        CONTROL,
+        "a dead gateway known to nine in ten",
+        "s",
+        "gateways",
+        lambda s: s.measured("removal_known_s", "gateways"),
+        None,
+        "",
+        "whintrail/fleet/membership.py:Membership._suspicion_us",
+        "removal_known_s",
+    ),
+    Row(
+        "newcomer",
+        CONTROL,
+        "the fleet's state with a newcomer",
+        "s",
+        "gateways",
+        lambda s: s.measured("state_newcomer_s", "gateways"),
+        None,
+        "",
+        "whintrail/fleet/replica.py:Replica.pull",
+        "state_newcomer_s",
+    ),
+    Row(
+        "keys_shared",
+        CONTROL,
+        "engines told of by nobody, their key shared",
+        "share",
+        "engines",
+        lambda s: s.measured("memo_keys_shared", "engines"),
+        None,
+        "",
+        "whintrail/fleet/memo.py:keys_of",
+        "memo_keys_shared",
+    ),
+    Row(
+        "probes",
+        CONTROL,
+        "probes that a gateway sends",
+        "1/s",
+        "engines",
+        lambda s: s.measured("probes_per_s", "engines"),
+        None,
+        "",
+        BRAIN + "_probe",
+        "probes_per_s",
+    ),
+    Row(
+        "cold_part",
+        CONTROL,
+        "its part of a cold engine's budget",
+        "share",
+        "gateways",
+        lambda s: s.measured("cold_part", "gateways"),
+        None,
+        "",
+        BRAIN + "_cold_room",
+        "cold_part",
+    ),
+    Row(
+        "engine_links",
+        ENGINE,
+        "links from gateways, at most one each",
+        "count",
+        "gateways",
+        lambda s: exactly(s.gateways),
+        None,
+        "",
+        "whintrail/gateway/links.py:Links",
+        "1 a gateway",
+    ),
+    Row(
+        "engine_probes",
+        ENGINE,
+        "probes answered",
+        "1/s",
+        "neither",
+        lambda s: exactly(1 / given("probe_shared_s")),
+        None,
+        "",
+        BRAIN + "_probe",
+        "1 each PROBE_SHARED_US, of the whole fleet",
+    ),
+    Row(
+        "beats",
+        MEMBER,
+        "log beats and their answers",
+        "datagrams/s",
+        "neither",
+        lambda s: exactly(2 * given("beats_per_s")),
+        None,
+        "",
+        "whintrail/fleet/council.py:Council._beat",
+        "5/s in, 5/s out, and one each way an entry",
+    ),
+    Row(
+        "leader_cpu",
+        LEADER,
+        "the leader's node, simulated",
+        "share",
+        "gateways",
+        lambda s: s.measured("leader_cpu_share", "gateways"),
+        CORE,
+        CORE_NAME,
+        "whintrail/fleet/node.py:Node._lead",
+        "leader_cpu_share",
+        total=True,
+    ),
+    Row(
+        "leader_tick",
+        LEADER,
+        "its turns",
+        "share",
+        "gateways",
+        lambda s: share(s.measured("node_tick_us", "gateways", role="leader"), given("turns_per_s")),
+        CORE,
+        CORE_NAME,
+        "whintrail/fleet/node.py:Node._lead",
+        f"node_tick_us x {given('turns_per_s'):g}/s",
+    ),
+    Row(
+        "lease_cpu",
+        LEADER,
+        "asks for leases, taken in",
+        "share",
+        "gateways",
+        _lease_cpu,
+        CORE,
+        CORE_NAME,
+        "whintrail/versions/guide.py:Guide.asked",
+        f"node_take_us x {ASKS:g}/s a gateway",
+    ),
+    Row(
+        "lease_datagrams",
+        LEADER,
+        "asks for leases and answers",
+        "datagrams/s",
+        "gateways",
+        lambda s: exactly(2 * ASKS * s.gateways),
+        None,
+        "",
+        "whintrail/versions/guide.py:Guide.asked",
+        f"{ASKS:g}/s a gateway, each way",
+    ),
+    Row(
+        "told_datagrams",
+        LEADER,
+        "telling all what is decided, if all were settings",
+        "datagrams/s",
+        "gateways",
+        _told_out,
+        None,
+        "",
+        "whintrail/fleet/node.py:Node._retell",
+        f"{ENTRIES:g} entries x {RETELLS:g} tellings x {CHANGES:.2f}/s a gateway",
+    ),
+    Row(
+        "reports_datagrams",
+        LEADER,
+        "reports, while it has something to decide",
+        "datagrams/s",
+        "gateways",
+        lambda s: exactly(given("reports_per_s") * s.gateways),
+        None,
+        "",
+        "whintrail/fleet/leader.py:Leader.report",
+        f"{given('reports_per_s'):g}/s a gateway",
+    ),
+    Row(
+        "leader_bytes",
+        LEADER,
+        "these three in bytes, share of its network",
+        "share",
+        "gateways",
+        _leader_net,
+        1.0,
+        "a control machine's network",
+        "whintrail/fleet/node.py:Node.flush",
+        f"({ASKS:g} x ({LEASE_ASK:.0f} + {LEASE_TELL:.0f}) + {RETELLS:g} x {CHANGES:.2f} x {TOLD_CHANGE:.0f}"
+        f" + {given('reports_per_s'):g} x {REPORT:.0f}) bytes/s a gateway",
+    ),
+    Row(
+        "leader_out",
+        LEADER,
+        "answers and tellings",
+        "datagrams/s",
+        "gateways",
+        lambda s: exactly(ASKS * s.gateways) + _told_out(s),
+        given("messages_per_s"),
+        "`messages_per_s` as it comes",
+        "whintrail/fleet/node.py:Spending.take",
+        f"({ASKS:g} + {ENTRIES * RETELLS * CHANGES:.2f})/s a gateway",
+        "messages_per_s",
+    ),
+    Row(
+        "leads_as_gateway",
+        LEADER,
+        "asks for leases, if an ordinary gateway leads",
+        "bytes/s",
+        "gateways",
+        lambda s: exactly(ASKS * (LEASE_ASK + LEASE_TELL) * s.gateways),
+        BYTES,
+        BYTES_NAME,
+        "whintrail/versions/guide.py:Guide.asked",
+        f"{ASKS:g}/s x ({LEASE_ASK:.0f} + {LEASE_TELL:.0f} bytes) a gateway",
+        "council",
+    ),
+    Row(
+        "bulletin_links",
+        BULLETIN,
+        "gateways that follow it, a descriptor each",
+        "count",
+        "gateways",
+        lambda s: exactly(s.gateways),
+        None,
+        "",
+        "",
+        "1 a gateway",
+    ),
+    Row(
+        "bulletin_changes",
+        BULLETIN,
+        "list events to all, share of its network",
+        "share",
+        "gateways",
+        _change_out,
+        1.0,
+        "its network",
+        "",
+        f"(list_line_bytes an engine + 52) x {CHANGES:.2f}/s a gateway",
+    ),
+    Row(
+        "bulletin_lists",
+        BULLETIN,
+        "a whole list to all, once it comes back",
+        "s",
+        "both",
+        _lists_out,
+        IN_FORCE,
+        "3 s",
+        "",
+        "list_line_bytes x gateways / its network",
+    ),
+    Row(
+        "machine_gateways",
+        MACHINE,
+        "gateways a machine, if all shared",
+        "count",
+        "gateways",
+        lambda s: exactly(s.gateways / given("control_machines")),
+        None,
+        "",
+        "",
+        "gateways / 26",
+    ),
+    Row(
+        "machine_leases",
+        MACHINE,
+        "asks for leases, if shared evenly",
+        "datagrams/s",
+        "gateways",
+        lambda s: exactly(ASKS * s.gateways / given("control_machines")),
+        None,
+        "",
+        "",
+        f"{ASKS:g}/s a gateway / 26",
+    ),
+    Row(
+        "slot",
+        COMMAND,
+        "`fleet may-restart`: a slot granted",
+        "s",
+        "gateways",
+        lambda s: s.measured("slot_s", "gateways"),
+        None,
+        "",
+        "whintrail/fleet/leader.py:Leader._slot",
+        "slot_s",
+    ),
+    Row(
+        "slots_day",
+        COMMAND,
+        "slots one after another, share of the day",
+        "share",
+        "gateways",
+        lambda s: s.measured("slot_s", "gateways") * per_s("restarts_a_day"),
+        1.0,
+        "the whole day",
+        "whintrail/fleet/leader.py:Leader._slot",
+        f"slot_s x {per_s('restarts_a_day'):.3f}/s",
+    ),
+)
--- /dev/null
+++ b/whintrail/scale/tables.py
@@ -0,0 +1,343 @@
+"""The tables of docs/CAPACITY.md as text: by name, from samples and predictions alone. Pure."""
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+
+from msgspec import Struct
+
+from whintrail.scale import candidates, capacity, inputs, rates, rows
+from whintrail.scale.capacity import Along, Crossing, Estimate, Figures, Found, Use
+from whintrail.scale.fitting import Fit
+from whintrail.scale.results import Results, Sample
+
+NOT_MEASURED, NONE = "not measured", "-"
+
+
+class Prediction(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A figure told before its run."""
+
+    quantity: str
+    unit: str
+    gateways: int
+    engines: int
+    value: float
+    low: float
+    high: float
+    kind: str
+    role: str = "gateway"
+    subset: int = 0
+    note: str = ""
+    sizes: tuple[int, ...]  # those that it was fitted on
+    form: str
+    commit: str
+    written_at: str  # UTC, ISO 8601
+
+
+class Foretold(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    predictions: list[Prediction]
+
+
+# --- Figures as text.
+
+
+def number(value: float) -> str:
+    """Three digits that count, thousands parted."""
+    if not math.isfinite(value):
+        return NONE
+    if value == 0:
+        return "0"
+    places = 2 - math.floor(math.log10(abs(value)))
+    rounded = round(value, places)
+    return f"{rounded:,.{max(0, places)}f}" if places > 0 else f"{rounded:,.0f}"
+
+
+def quantity(value: float, unit: str) -> str:
+    if unit == "share":
+        return f"{number(100 * value)}%"
+    if unit == "bytes" and abs(value) >= 1e6:
+        return f"{number(value / (1 << 20))} MB"
+    if unit == "bytes" and abs(value) >= 1e4:
+        return f"{number(value / 1024)} KB"
+    if unit == "bytes/s" and abs(value) >= 1e4:
+        return f"{number(value / 1024)} KB/s"
+    return number(value) if unit == "count" else f"{number(value)} {unit}"
+
+
+def ranged(found: Estimate, unit: str) -> str:
+    text = quantity(found.value, unit)
+    if found.high - found.low <= 1e-9 * abs(found.value):
+        return text
+    return f"{text} ({quantity(found.low, unit)} to {quantity(found.high, unit)})"
+
+
+def where(along: Along, crossing: Crossing | None) -> str:
+    """The size at which a budget is passed."""
+    if crossing is None:
+        return NONE
+    if along == "neither":
+        return "at any size" if crossing.size is not None else "at none"
+    if crossing.size is None:
+        return f"at none up to {capacity.BEYOND:g} times"
+
+    def size(x: float) -> str:
+        if along != "both":
+            return number(x)
+        gateways, engines = capacity.on_the_way(_both_share(x))
+        return f"{number(gateways)} and {number(engines)}"
+
+    text = size(crossing.size)
+    early, late = crossing.earliest, crossing.latest
+    if early is not None and late is not None and size(early) != size(late):
+        text += f" ({size(early)} to {size(late)})"
+    return f"{text} gateways and engines" if along == "both" else f"{text} {along}"
+
+
+def _both_share(gateways: float) -> float:
+    begin, end = capacity.today()[0], capacity.coming()[0]
+    return (gateways - begin) / (end - begin)
+
+
+def slope_of(fit: Fit) -> str:
+    each = f"{fit.unit} {'an engine' if fit.grows_with == 'engines' else 'a gateway'}"
+    return f"{number(fit.slope)} +- {number(fit.slope_error)} {each}"
+
+
+def sizes_of(fit: Fit) -> str:
+    return ", ".join(f"{size:,}" for size in fit.sizes)
+
+
+def table(head: Sequence[str], body: Sequence[Sequence[str]]) -> str:
+    lines = [head, ["---"] * len(head), *body]
+    return "\n".join("| " + " | ".join(cell.replace("|", "/") for cell in line) + " |" for line in lines)
+
+
+# --- The tables.
+
+
+def _place(found: Found, places: Mapping[str, str], late: Mapping[str, str]) -> str:
+    row = found.row
+    today = (
+        f"`{places.get(row.place, row.place)}`"
+        if row.place
+        else "not ours"
+        if row.role == rows.BULLETIN
+        else ""
+    )
+    if row.setting and found.passed:
+        return f"{today}; setting `{row.setting}`"
+    if found.passed:
+        return f"**missing**; today {today}" if today else "**missing**"
+    return today or "**missing**"
+
+
+def roles(found: Sequence[Found], places: Mapping[str, str]) -> str:
+    head = (
+        "role",
+        "what",
+        "slope x what it grows with",
+        "at 4,000 and 15,000",
+        "budget",
+        "used",
+        "carried by",
+        "passed at",
+    )
+    body = []
+    for f in found:
+        row = f.row
+        value = ranged(f.value, row.unit) if f.value is not None else f"{NOT_MEASURED}: {f.missing}"
+        budget = row.budget_name or "none set"
+        used = f"{number(100 * f.share)}%" if f.share is not None else NONE
+        crossing = where(row.along, f.crossing) if row.budget is not None else NONE
+        body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places, {}), crossing))
+    return table(head, body)
+
+
+def slopes(found: Sequence[Found], figures: Figures) -> str:
+    head = ("quantity", "of", "slope", "form", "exponent", "off by at most", "sizes")
+    body = []
+    for use in dict.fromkeys(use for f in found for use in f.used):
+        try:
+            fit = figures.fit(use)
+        except capacity.NotMeasured:
+            body.append((use.quantity, _of(use), NOT_MEASURED, NONE, NONE, NONE, NONE))
+            continue
+        exponent = (
+            f"{number(fit.exponent)} +- {number(fit.exponent_error)}"
+            if fit.exponent == fit.exponent
+            else NONE
+        )
+        worst = f"{number(100 * fit.worst)}%"
+        body.append((use.quantity, _of(use), slope_of(fit), fit.form, exponent, worst, sizes_of(fit)))
+    return table(head, body)
+
+
+def _of(use: Use) -> str:
+    words = [use.kind, use.role, use.note, "99th or 95th hundredth" if use.stat == "high" else None]
+    return ", ".join(word for word in words if word) or "gateway"
+
+
+def worked(figures: Figures) -> str:
+    head = ("event", "what", "at 4,000 and 15,000", "budget", "holds")
+    body = []
+    for fact in rates.FACTS:
+        r = rates.reckon(fact, figures)
+        value = ranged(r.value, fact.unit) if r.value is not None else f"{NOT_MEASURED}: {r.missing}"
+        holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
+        body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
+    return table(head, body)
+
+
+def ranking(found: Sequence[Found]) -> str:
+    head = (
+        "mechanism",
+        "its first row to fail",
+        "at",
+        "share of the way",
+        "failing rows it carries",
+        "which",
+    )
+    body = []
+    for rank in capacity.ranking(found, candidates.CANDIDATES):
+        first, names = rank.first, ", ".join(f.row.key for f in rank.failing)
+        at = where(first.row.along, first.crossing)
+        share = f"{number(100 * rank.share)}%"
+        body.append((rank.candidate.name, first.row.key, at, share, str(len(rank.failing)), names))
+    return table(head, body)
+
+
+def failing(found: Sequence[Found]) -> str:
+    """Rows that fail on the way, the first ones first, and who would carry them."""
+    head = ("row", "what", "passed at", "share of the way", "would be carried by")
+    body = []
+    for f in capacity.failing(found):
+        assert f.crossing is not None
+        key = f.row.key
+        by = [f"{c.name} ({c.carries[key]})" for c in candidates.CANDIDATES if key in c.carries]
+        by += [f"in part {c.name} ({c.in_part[key]})" for c in candidates.CANDIDATES if key in c.in_part]
+        at = where(f.row.along, f.crossing)
+        body.append(
+            (f.row.key, f.row.what, at, f"{number(100 * f.crossing.share)}%", "; ".join(by) or "nothing yet")
+        )
+    return table(head, body)
+
+
+def by_setting(found: Sequence[Found]) -> str:
+    head = ("what", "at 4,000 and 15,000", "budget", "passed at", "setting")
+    body = [
+        (
+            f.row.what,
+            ranged(f.value, f.row.unit),
+            f.row.budget_name,
+            where(f.row.along, f.crossing),
+            f.row.setting,
+        )
+        for f in found
+        if f.row.setting and f.passed and f.value is not None
+    ]
+    return table(head, body)
+
+
+def given() -> str:
+    head = ("input", "value", "unit", "from", "reason")
+    return table(head, [(i.name, number(i.value), i.unit, i.source, i.reason) for i in inputs.ALL])
+
+
+def same(p: Prediction, s: Sample) -> bool:
+    return (p.quantity, p.kind, p.role, p.subset, p.note, p.gateways, p.engines) == (
+        s.quantity, s.kind, s.role, s.subset, s.note, s.gateways, s.engines,
+    )  # fmt: skip
+
+
+def foretold(predictions: Sequence[Prediction], results: Sequence[Results]) -> str:
+    head = (
+        "quantity",
+        "gateways",
+        "engines",
+        "foretold",
+        "from sizes",
+        "at commit",
+        "found",
+        "found / foretold",
+        "within",
+    )
+    body = []
+    for p in predictions:
+        # A run that began before the prediction was written proves nothing.
+        found = [s for r in results if r.taken_at >= p.written_at for s in r.samples if same(p, s)]
+        told = ranged(Estimate(p.value, p.low, p.high), p.unit)
+        sizes = ", ".join(f"{size:,}" for size in p.sizes)
+        name = (
+            p.quantity
+            + (f", subset {p.subset}" if p.subset else "")
+            + (f", {p.role}" if p.role != "gateway" else "")
+        )
+        row = [name, f"{p.gateways:,}", f"{p.engines:,}", told, sizes, p.commit]
+        if not found:
+            body.append([*row, "not run", NONE, NONE])
+            continue
+        value = found[-1].value
+        ratio = number(value / p.value) if p.value else NONE
+        body.append([*row, quantity(value, p.unit), ratio, "yes" if p.low <= value <= p.high else "**no**"])
+    return table(head, body)
+
+
+def subsets(samples: Sequence[Sample]) -> str:
+    """Rows that were measured with a subset on, beside the way of before."""
+    sizes = sorted({s.subset for s in samples if s.subset})
+    head = (
+        "row",
+        "unit",
+        "without, at 4,000 and 15,000",
+        "passed at",
+        *[t for k in sizes for t in (f"keeping {k}", "passed at")],
+    )
+    plain = Figures(samples)
+    body = []
+    for row in rows.ROWS:
+        before = capacity.find(row, plain)
+        after = [capacity.find(row, Figures(samples, subset=k)) for k in sizes]
+        if not before.used or before.value is None or all(f.value is None for f in after):
+            continue
+        cells = [row.key, row.unit, quantity(before.value.value, row.unit), where(row.along, before.crossing)]
+        for f in after:
+            cells += [
+                quantity(f.value.value, row.unit) if f.value else NOT_MEASURED,
+                where(row.along, f.crossing),
+            ]
+        body.append(cells)
+    return table(head, body) if body else f"{NOT_MEASURED}: no file has samples with a subset."
+
+
+def files(results: Mapping[str, Results]) -> str:
+    head = ("file", "command", "commit", "taken at", "took", "load before", "samples")
+    body = []
+    for name, r in results.items():
+        load = f"{number(r.machine.load)} on {r.machine.cores} cores"
+        body.append(
+            (name, f"`{r.command}`", r.commit, r.taken_at, f"{number(r.took_s)} s", load, str(len(r.samples)))
+        )
+    return table(head, body) if body else "No file yet."
+
+
+def render(
+    results: Mapping[str, Results], predictions: Sequence[Prediction], places: Mapping[str, str]
+) -> dict[str, str]:
+    """All tables by name."""
+    samples = [s for r in results.values() for s in r.samples]
+    figures = Figures(samples)
+    found = [capacity.find(row, figures) for row in rows.ROWS]
+    for fact in rates.FACTS:  # what they use is listed with the slopes
+        rates.reckon(fact, figures)
+    every: dict[str, Callable[[], str]] = {
+        "inputs": given,
+        "roles": lambda: roles(found, places),
+        "slopes": lambda: slopes(found, figures),
+        "rates": lambda: worked(figures),
+        "failing": lambda: failing(found),
+        "ranking": lambda: ranking(found),
+        "settings": lambda: by_setting(found),
+        "subset": lambda: subsets(samples),
+        "foretold": lambda: foretold(predictions, list(results.values())),
+        "files": lambda: files(results),
+    }
+    return {name: make() for name, make in every.items()}
