--- /dev/null
+++ b/benchmarks/regions.py
@@ -0,0 +1,99 @@
+"""Changes of settings while regions are apart, simulated: python -m benchmarks.regions --to docs/capacity/regions.json
+
+Nine regions. `two apart`: the leader's region and another lose each other, and both still reach all the rest.
+`one alone`: that other region reaches nobody. Once the cut is old, changes are asked for from a third region,
+one after another; then the cut ends. From outside: how many came into force, how many of the cut region's
+gateways held a lease, and how long until all held one again and knew the newest version.
+"""
+
+import time
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import click
+
+from whintrail.fleet.node import Given
+from whintrail.fleet.wire import WantVersion
+from whintrail.scale.results import Sample, sample, save, this_machine
+from whintrail.standins.simulated import World, sound
+from whintrail.versions.body import Body
+from whintrail.versions.member import VersionPace
+
+REGIONS, COUNCIL, CHANGES = 9, (0, 1, 2, 3, 4), 2
+DAYS = ("two apart", "one alone")
+
+
+def cut(day: str, leads: int, other: int, origin: int, target: int, random: Random) -> list[float]:
+    a, b = origin % REGIONS, target % REGIONS
+    parted = {a, b} == {leads, other} if day == "two apart" else (a == other) != (b == other)
+    return [] if parted else [0.0]
+
+
+def of(count: int, number: int, build: str) -> Given:
+    rates = {"messages_per_s": 1500.0, "bytes_per_s": 400_000.0}
+    return Given("f", number, count, COUNCIL, versions=VersionPace(), **rates)  # type: ignore[arg-type]
+
+
+def leased(world: World, number: int) -> bool:
+    settings = world.node(number).settings
+    assert settings is not None
+    return settings.member.acting.rule(world.clock(number)).leased
+
+
+def whole(world: World) -> bool:
+    newest = world.state().versions.number
+    return all(world.node(n).state.versions.number == newest and leased(world, n) for n in world.up())
+
+
+def play(count: int, day: str, seed: int) -> dict[str, float]:
+    world = World(partial(of, count), count, seed, drift=0.01)
+    world.run(10, lambda: world.leader() is not None)
+    world.run(4)
+    leader = world.leader()
+    assert leader is not None
+    other = REGIONS - 1  # of no council member
+    world.fault = partial(cut, day, leader % REGIONS, other)
+    world.run(30)
+    asker = next(n for n in range(count) if n % REGIONS not in (leader % REGIONS, other))
+    before, node = world.state().versions.number, world.node(asker)
+    for turn in range(CHANGES):
+        assert node.settings is not None
+        digest = node.settings.member.put(Body(caps={"report": turn + 5}))
+        node.wish(
+            world.clock(asker), WantVersion(node.state.versions.number + 1, digest, ""), 20, waits=False
+        )
+        world.run(15)
+    there = [n for n in range(count) if n % REGIONS == other]
+    settled, held = world.state().versions.number - before, sum(leased(world, n) for n in there)
+    world.fault, at = sound, world.now
+    back = world.run(30, lambda: whole(world))
+    return {
+        "apart_asked": CHANGES,
+        "apart_settled": settled,
+        "apart_gateways": len(there),
+        "apart_leased": held,
+        "apart_back_s": (world.now - at) / 1e6 if back else 30.0,
+    }
+
+
+@click.command()
+@click.option("--gateways", default=45, show_default=True)
+@click.option("--seeds", default=4, show_default=True)
+@click.option("--to", type=click.Path(path_type=Path), help="Write a file of results.")
+def main(gateways: int, seeds: int, to: Path | None) -> None:
+    began, machine, found = time.time(), this_machine(), list[Sample]()
+    for day in DAYS:
+        rows = [play(gateways, day, seed) for seed in range(1, seeds + 1)]
+        for name in rows[0]:
+            unit = "s" if name.endswith("_s") else "count"
+            made = sample(name, unit, (gateways, 0), [row[name] for row in rows], "simulated")
+            click.echo(f"{day}: {name} {made.value:g} ({made.low:g} to {made.high:g})")
+            found.append(Sample(**{f: getattr(made, f) for f in made.__struct_fields__} | {"day": day}))
+    if to is not None:
+        command = f"python -m benchmarks.regions --gateways {gateways} --seeds {seeds} --to {to}"
+        save(to, command, began, machine, found, "nine regions; the council in five of them")
+
+
+if __name__ == "__main__":
+    main()
