--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -1,4 +1,4 @@
-"""Changes of settings while regions are apart, simulated: python -m benchmarks.regions --to docs/capacity/regions.json
+"""Changes of settings while regions are apart, simulated: python -m benchmarks.regions
 
 Nine regions. `two apart`: the leader's region and another lose each other, and both still reach all the rest.
 `one alone`: that other region reaches nobody. Once the cut is old, changes are asked for from a third region,
--- a/whintrail/scale/inputs.py
+++ b/whintrail/scale/inputs.py
@@ -92,6 +92,13 @@
     _assumed("restart_s", "s", 30, "from the end of a process to its successor's start"),
     _own("proven_s", "s", FLEET.proven_s, "a new process has to have served so long"),
     _own("check_s", "s", VERSIONS.check_us / 1e6, "for all to say whether they can act on a proposal"),
+    _own(
+        "change_round_trips",
+        "count",
+        8.5,
+        "docs/versions.md, steps in turn: asked of the leader 0.5; proposed, entered, settled: decided 1 and told "
+        "0.5 each; the body fetched 1; its verdict, and acting on the merge, said 0.5 each; the last lease 1",
+    ),
     _own("refresh_per_s", "1/s", 1e6 / brain.REFRESH_US, "brain.REFRESH_US: while work is out"),
     _own("sweep_per_s", "1/s", 1e6 / brain.SWEEP_US, "brain.SWEEP_US"),
     _own("turns_per_s", "1/s", 1 / TURN_S, "gateway/fleet.TURN_S"),
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from whintrail.scale.capacity import Estimate, Figures, NotMeasured, Size, coming, exactly, per_s
+from whintrail.scale.capacity import Estimate, Figures, NotMeasured, Size, Use, coming, exactly, per_s
 from whintrail.scale.inputs import value as given
 from whintrail.scale.rows import CHANGES, CLIENTS, ENTRIES, IN_FORCE, PRIMARY, RETELLS, TOLD_CHANGE
 
@@ -28,6 +28,7 @@
     fact: Fact
     value: Estimate | None
     missing: str
+    used: tuple[Use, ...] = ()
 
     @property
     def passed(self) -> bool:
@@ -36,10 +37,11 @@
 
 
 def reckon(fact: Fact, figures: Figures, size: tuple[float, float] | None = None) -> Reckoned:
+    at = Size(*(size or coming()), figures)
     try:
-        return Reckoned(fact, fact.value(Size(*(size or coming()), figures)), "")
+        return Reckoned(fact, fact.value(at), "", tuple(at.used))
     except NotMeasured as error:
-        return Reckoned(fact, None, str(error))
+        return Reckoned(fact, None, str(error), tuple(at.used))
 
 
 def _one(s: Size) -> Estimate:
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -1,7 +1,7 @@
 """The tables of docs/CAPACITY.md as text: by name, from samples and predictions alone. Pure."""
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from msgspec import Struct
 
@@ -41,11 +41,11 @@
 
 
 def number(value: float) -> str:
-    """Three digits that count, thousands parted."""
+    """Three digits that count, thousands parted; a whole number as it is."""
     if not math.isfinite(value):
         return NONE
-    if value == 0:
-        return "0"
+    if value == round(value) and abs(value) < 1e7:
+        return f"{value:,.0f}"
     places = 2 - math.floor(math.log10(abs(value)))
     rounded = round(value, places)
     return f"{rounded:,.{max(0, places)}f}" if places > 0 else f"{rounded:,.0f}"
@@ -70,6 +70,18 @@
     return f"{text} ({quantity(found.low, unit)} to {quantity(found.high, unit)})"
 
 
+def told(value: Estimate | None, missing: str, unit: str, used: Sequence[Use], figures: Figures) -> str:
+    """The cell of a value at the size that is coming; where its fits were taken at smaller sizes only, so."""
+    if value is None:
+        return f"{NOT_MEASURED}: {missing}"
+    text = ranged(value, unit)
+    for use in used:
+        most, size = max(figures.fit(use).sizes), capacity.coming()[1 if use.grows_with == "engines" else 0]
+        if most < size:
+            text += f"; foretold: {use.quantity} was taken up to {most:,} {use.grows_with}"
+    return text
+
+
 def where(along: Along, crossing: Crossing | None) -> str:
     """The size at which a budget is passed."""
     if crossing is None:
@@ -114,7 +126,7 @@
 # --- The tables.
 
 
-def _place(found: Found, places: Mapping[str, str], late: Mapping[str, str]) -> str:
+def _place(found: Found, places: Mapping[str, str]) -> str:
     row = found.row
     today = (
         f"`{places.get(row.place, row.place)}`"
@@ -130,7 +142,7 @@
     return today or "**missing**"
 
 
-def roles(found: Sequence[Found], places: Mapping[str, str]) -> str:
+def roles(found: Sequence[Found], figures: Figures, places: Mapping[str, str]) -> str:
     head = (
         "role",
         "what",
@@ -144,18 +156,18 @@
     body = []
     for f in found:
         row = f.row
-        value = ranged(f.value, row.unit) if f.value is not None else f"{NOT_MEASURED}: {f.missing}"
+        value = told(f.value, f.missing, row.unit, f.used, figures)
         budget = row.budget_name or "none set"
         used = f"{number(100 * f.share)}%" if f.share is not None else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
-        body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places, {}), crossing))
+        body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places), crossing))
     return table(head, body)
 
 
-def slopes(found: Sequence[Found], figures: Figures) -> str:
+def slopes(uses: Iterable[Use], figures: Figures) -> str:
     head = ("quantity", "of", "slope", "form", "exponent", "off by at most", "sizes")
     body = []
-    for use in dict.fromkeys(use for f in found for use in f.used):
+    for use in uses:
         try:
             fit = figures.fit(use)
         except capacity.NotMeasured:
@@ -176,12 +188,12 @@
     return ", ".join(word for word in words if word) or "gateway"
 
 
-def worked(figures: Figures) -> str:
+def worked(facts: Sequence[rates.Reckoned], figures: Figures) -> str:
     head = ("event", "what", "at 4,000 and 15,000", "budget", "holds")
     body = []
-    for fact in rates.FACTS:
-        r = rates.reckon(fact, figures)
-        value = ranged(r.value, fact.unit) if r.value is not None else f"{NOT_MEASURED}: {r.missing}"
+    for r in facts:
+        fact = r.fact
+        value = told(r.value, r.missing, fact.unit, r.used, figures)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
@@ -308,6 +320,29 @@
     return table(head, body) if body else f"{NOT_MEASURED}: no file has samples with a subset."
 
 
+REGIONS = {
+    "apart_asked": "changes asked for during the cut",
+    "apart_settled": "of these came into force",
+    "apart_gateways": "gateways of the cut region",
+    "apart_leased": "of these held a lease",
+    "apart_back_s": "after it, until all held a lease and knew the newest version",
+}
+
+
+def regions(samples: Sequence[Sample]) -> str:
+    """What `benchmarks.regions` found, a day a column."""
+    found = {(s.quantity, s.day): s for s in samples if s.quantity in REGIONS}
+    if not found:
+        return f"{NOT_MEASURED}: apart_asked"
+    days = list(dict.fromkeys(day for _, day in found))
+    size = f"{next(iter(found.values())).gateways} gateways, simulated"
+    body = []
+    for name, what in REGIONS.items():
+        cells = [found.get((name, day)) for day in days]
+        body.append([what, *(ranged(Estimate(s.value, s.low, s.high), s.unit) if s else NONE for s in cells)])
+    return table([size, *days], body)
+
+
 def files(results: Mapping[str, Results]) -> str:
     head = ("file", "command", "commit", "taken at", "took", "load before", "samples")
     body = []
@@ -326,13 +361,14 @@
     samples = [s for r in results.values() for s in r.samples]
     figures = Figures(samples)
     found = [capacity.find(row, figures) for row in rows.ROWS]
-    for fact in rates.FACTS:  # what they use is listed with the slopes
-        rates.reckon(fact, figures)
+    facts = [rates.reckon(fact, figures) for fact in rates.FACTS]
+    uses = dict.fromkeys([use for f in found for use in f.used] + [use for r in facts for use in r.used])
     every: dict[str, Callable[[], str]] = {
         "inputs": given,
-        "roles": lambda: roles(found, places),
-        "slopes": lambda: slopes(found, figures),
-        "rates": lambda: worked(figures),
+        "roles": lambda: roles(found, figures, places),
+        "slopes": lambda: slopes(uses, figures),
+        "rates": lambda: worked(facts, figures),
+        "regions": lambda: regions(samples),
         "failing": lambda: failing(found),
         "ranking": lambda: ranking(found),
         "settings": lambda: by_setting(found),
