Capacity rows by the quantities that slopes writes; what a setting mends apart; tests

Need: the model's rows by the names and roles of the slopes' file, and tests of its arithmetic and of the page.

--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,289 @@
+"""The capacity model's arithmetic, on samples that the tests make: no measured figure is looked at here."""
+
+import math
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from whintrail.scale import candidates, capacity, inputs, rates, rows, tables
+from whintrail.scale.capacity import (
+    Candidate,
+    Crossing,
+    Estimate,
+    Figures,
+    Found,
+    NotMeasured,
+    Row,
+    Size,
+    exactly,
+)
+from whintrail.scale.page import ROOT, check, find_places, foretell, grows_with, read_results, report
+from whintrail.scale.results import Sample, save, this_machine
+
+ENGINES, GATEWAYS = (20, 80, 320, 1280, 5000), (20, 50, 200, 800)
+
+
+def changed(sample: Sample, **more: Any) -> Sample:
+    return msgspec.structs.replace(sample, **more)
+
+
+def line(
+    quantity: str, slope: float, base: float = 0.0, over: str = "engines", spread: float = 0.02, **more: Any
+) -> list[Sample]:
+    """Samples on a line, as one file would have them."""
+    made = []
+    for x in ENGINES if over == "engines" else GATEWAYS:
+        value = base + slope * x
+        size = {"gateways": 200, "engines": 80} | {over: x}
+        given: dict[str, Any] = {"quantity": quantity, "unit": "us", "n": 9, "kind": "core"} | size | more
+        made.append(Sample(value=value, low=value * (1 - spread), high=value * (1 + spread), **given))
+    return made
+
+
+def value_of(found: Found | rates.Reckoned) -> Estimate:
+    assert found.value is not None, found.missing
+    return found.value
+
+
+def crossing_of(found: Found) -> Crossing:
+    assert found.crossing is not None, found.missing
+    return found.crossing
+
+
+def row(key: str, **more: Any) -> Row:
+    return replace(next(r for r in rows.ROWS if r.key == key), **more)
+
+
+def test_a_row_is_slope_times_pace_and_says_where_its_budget_is_passed() -> None:
+    found = capacity.find(row("refresh_cpu"), Figures(line("module_refresh_us", 3.5)))
+    assert found.value is not None and found.crossing is not None
+    assert value_of(found).value == pytest.approx(3.5 * 15_000 * 5 / 1e6, rel=0.01)
+    assert found.passed and found.share == pytest.approx(0.2625 / 0.014, rel=0.01)
+    assert crossing_of(found).size == pytest.approx(0.014 * 1e6 / 5 / 3.5, rel=0.01)  # 800 engines
+    assert crossing_of(found).share == pytest.approx((800 - 80) / 14_920, rel=0.02)
+    crossing = crossing_of(found)
+    assert crossing.earliest is not None and crossing.size is not None and crossing.latest is not None
+    assert crossing.earliest <= crossing.size <= crossing.latest
+
+
+def test_a_row_whose_figure_is_missing_says_which_and_guesses_nothing() -> None:
+    found = capacity.find(row("cpu_sum"), Figures(line("module_refresh_us", 3.5)))
+    assert (found.value, found.missing, found.crossing) == (None, "module_sweep_us", None)
+    assert not found.passed and found.share is None
+    one = [s for s in line("module_refresh_us", 3.5) if s.engines == 80]
+    assert capacity.find(row("refresh_cpu"), Figures(one)).missing == "module_refresh_us"
+
+
+def test_memos_are_in_datagrams_times_the_time_of_one() -> None:
+    samples = line("memo_datagrams_per_s", 1 / 0.6) + line("module_memo_us", 0.0, 7.5)
+    found = capacity.find(row("memo_cpu"), Figures(samples))
+    assert value_of(found).value == pytest.approx(25_000 * 7.5 / 1e6, rel=0.01)
+    assert value_of(found).low <= value_of(found).value <= value_of(found).high
+
+
+def test_figures_with_a_subset_are_apart_from_those_without() -> None:
+    samples = line("module_refresh_us", 3.5) + line("module_refresh_us", 0.0, 100.0, subset=64)
+    without, kept = Figures(samples), Figures(samples, subset=64)
+    assert capacity.find(row("refresh_cpu"), without).passed
+    assert not capacity.find(row("refresh_cpu"), kept).passed
+    text = tables.subsets(samples)
+    assert "keeping 64" in text and "| refresh_cpu |" in text
+
+
+def test_p99_is_fitted_on_the_high_figures() -> None:
+    samples = line(
+        "version_in_force_s", 0.0, 3.0, over="gateways", kind="simulated", note="one after another"
+    )
+    samples = [changed(s, high=4.9) for s in samples]
+    found = capacity.find(row("version_in_force"), Figures(samples))
+    assert value_of(found).value == pytest.approx(4.9)
+    assert value_of(capacity.find(row("versions_queue"), Figures(samples))).value == pytest.approx(
+        3.0 * 64_000 / 86_400
+    )
+    other = [changed(s, note="at 1/s") for s in samples]
+    assert capacity.find(row("version_in_force"), Figures(other)).missing == "version_in_force_s"
+
+
+def test_rows_that_grow_with_neither_pass_at_any_size_or_at_none() -> None:
+    assert crossing_of(capacity.find(row("clients"), Figures([]))).size == 0
+    held = crossing_of(capacity.find(row("clients", budget=1e9), Figures([])))
+    assert held.size is None and held.share == math.inf
+
+
+def test_a_row_of_both_sizes_is_passed_on_the_way_between_today_and_the_coming_size() -> None:
+    both = row("bulletin_lists", value=lambda s: exactly(s.gateways * s.engines), budget=2100 * 7540)
+    found = capacity.find(both, Figures([]))
+    assert crossing_of(found).share == pytest.approx(0.5, abs=0.001)
+    assert tables.where("both", found.crossing) == "2,100 and 7,540 gateways and engines"
+
+
+def test_today_and_the_coming_size_are_the_ends_of_the_way() -> None:
+    assert capacity.on_the_way(0) == (200, 80) and capacity.on_the_way(1) == (4000, 15_000)
+    assert capacity.share_of_way("engines", 80) == 0 == capacity.share_of_way("gateways", 12)
+    assert capacity.share_of_way("gateways", 2100) == 0.5
+
+
+def failing_at(key: str, share: float, **more: Any) -> Found:
+    """A row that is passed at a share of the way."""
+    size = capacity.on_the_way(share)[1]
+    made = Row(key, "role", key, "count", "engines", lambda s: exactly(s.engines), size, "b", "", "", **more)
+    return capacity.find(made, Figures([]))
+
+
+def carrier(name: str, *keys: str) -> Candidate:
+    return Candidate(name, dict.fromkeys(keys, "because"), {"c": "in part"}, "")
+
+
+def test_the_ranking_goes_by_the_smallest_size_and_of_equals_by_the_rows_carried() -> None:
+    found = [failing_at("a", 0.3), failing_at("b", 0.1), failing_at("c", -0.001), failing_at("d", -0.002)]
+    ranks = capacity.ranking(
+        found, [carrier("late", "a", "b"), carrier("one", "c"), carrier("two", "d", "a")]
+    )
+    assert [r.candidate.name for r in ranks] == ["two", "one", "late"]  # c and d both fail at today's size
+    assert [len(r.failing) for r in ranks] == [2, 1, 2]
+
+
+def test_what_is_eased_in_part_sums_and_mends_are_not_counted() -> None:
+    found = [failing_at("a", 0.3, total=True), failing_at("b", 0.1, mend="`sockets`"), failing_at("c", 0.2)]
+    assert [f.row.key for f in capacity.failing(found)] == ["c"]
+    assert capacity.ranking(found, [carrier("x", "a", "b")]) == []
+
+
+def test_a_budget_that_is_passed_beyond_the_coming_size_is_not_on_the_way() -> None:
+    assert capacity.failing([failing_at("a", 1.2)]) == []
+    assert crossing_of(failing_at("a", 1.2)).share == pytest.approx(1.2, rel=0.001)
+
+
+def test_candidates_name_rows_that_there_are_and_give_reasons() -> None:
+    keys = {r.key for r in rows.ROWS}
+    assert len(keys) == len(rows.ROWS)
+    for candidate in candidates.CANDIDATES:
+        assert set(candidate.carries) | set(candidate.in_part) <= keys
+        assert not set(candidate.carries) & set(candidate.in_part)
+        assert all([*candidate.carries.values(), *candidate.in_part.values()])
+
+
+def test_every_input_has_a_reason_and_one_name() -> None:
+    assert len(inputs.BY_NAME) == len(inputs.ALL)
+    assert all(given.reason and given.unit for given in inputs.ALL)
+    assert inputs.value("refresh_per_s") == 5 and inputs.value("probe_shared_s") == 0.6
+
+
+def test_places_are_found_in_the_source_and_a_name_that_is_gone_is_an_error() -> None:
+    places = find_places(ROOT, sorted({r.place for r in rows.ROWS if r.place}))
+    assert places["whintrail/brain.py:Gateway._refresh"].startswith("whintrail/brain.py:")
+    with pytest.raises(ValueError, match="no nothing there"):
+        find_places(ROOT, ["whintrail/brain.py:Gateway.nothing"])
+
+
+def fact(key: str) -> rates.Fact:
+    return next(f for f in rates.FACTS if f.key == key)
+
+
+def test_changes_one_after_another_leave_what_the_day_has_no_time_for() -> None:
+    samples = line(
+        "version_in_force_s", 0.0, 3.0, over="gateways", kind="simulated", note="one after another"
+    )
+    found = rates.reckon(fact("mean_left"), Figures(samples))
+    assert value_of(found).value == pytest.approx(64_000 - 86_400 / 3.0) and found.passed
+    assert value_of(found).low <= value_of(found).value <= value_of(found).high
+    burst = value_of(rates.reckon(fact("burst_last"), Figures(samples))).value
+    assert burst == pytest.approx(64_000 / 86_400 * 10 * 600 * 3.0 - 600)
+    quick = line("version_in_force_s", 0.0, 0.1, over="gateways", kind="simulated", note="one after another")
+    assert not rates.reckon(fact("mean_left"), Figures(quick)).passed
+    assert value_of(rates.reckon(fact("burst_last"), Figures(quick))).value == pytest.approx(0.1)
+
+
+def test_a_zone_is_a_nineteenth_and_more_than_may_be_out() -> None:
+    found = rates.reckon(fact("zone_gateways"), Figures([]))
+    assert value_of(found).value == pytest.approx(4000 / 19) and found.passed
+    assert rates.reckon(fact("rack_stand"), Figures([])).missing == "module_list_delta_us"
+    stand = rates.reckon(fact("rack_stand"), Figures(line("module_list_delta_us", 1.5)))
+    assert value_of(stand).value == pytest.approx(40 * 1.5 * 15_000 / 1e6, rel=0.01)
+
+
+def test_a_value_beyond_the_sizes_it_was_taken_at_says_so() -> None:
+    figures = Figures(line("module_refresh_us", 3.5))
+    found = capacity.find(row("refresh_cpu"), figures)
+    text = tables.told(found.value, "", "share", found.used, figures)
+    assert text.endswith("foretold: module_refresh_us was taken up to 5,000 engines")
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [(0, "0"), (15_000, "15,000"), (0.01234, "0.0123"), (48.04, "48.0"), (123_456.7, "123,000")],
+)
+def test_numbers_as_text(value: float, text: str) -> None:
+    assert tables.number(value) == text
+
+
+# --- Predictions.
+
+
+def wanted(engines: int) -> Sample:
+    blank: dict[str, Any] = {"unit": "", "value": 0.0, "low": 0.0, "high": 0.0, "n": 1, "kind": "core"}
+    return Sample(quantity="module_refresh_us", gateways=200, engines=engines, **blank)
+
+
+def test_a_prediction_is_written_before_its_run_only() -> None:
+    samples = line("module_refresh_us", 3.5)
+    assert grows_with("module_refresh_us", samples) == "engines"
+    made = foretell(samples, wanted(15_000), "engines", 0.0)
+    assert made.value == pytest.approx(52_500, rel=0.01) and made.low < made.value < made.high
+    assert made.sizes == ENGINES and made.written_at == "1970-01-01T00:00:00Z"
+    with pytest.raises(ValueError, match="measured already"):
+        foretell(samples, wanted(5000), "engines", 0.0)
+
+
+def results(tmp_path: Path, name: str, samples: list[Sample], began: float) -> None:
+    save(tmp_path / name, "test", began, this_machine(), samples, "")
+
+
+def test_found_stands_beside_foretold_and_an_earlier_run_counts_for_nothing(tmp_path: Path) -> None:
+    made = foretell(line("module_refresh_us", 3.5), wanted(15_000), "engines", 1000.0)
+    late = [changed(wanted(15_000), value=52_500.0, unit="us")]
+    results(tmp_path, "before.json", late, 900.0)
+    assert "not run" in tables.foretold([made], list(read_results(tmp_path).values()))
+    results(tmp_path, "after.json", late, 1100.0)
+    text = tables.foretold([made], list(read_results(tmp_path).values()))
+    assert "| 52,500 us | 1.000 | yes |" in text
+    off = [changed(late[0], value=90_000.0)]
+    results(tmp_path, "after.json", off, 1100.0)
+    assert "**no**" in tables.foretold([made], list(read_results(tmp_path).values()))
+
+
+# --- Commands.
+
+
+def test_check_ends_with_1_where_a_budget_is_passed_and_with_0_where_none_is(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(rows, "ROWS", (row("refresh_cpu"),))
+    results(tmp_path, "x.json", line("module_refresh_us", 3.5), 0.0)
+    large = CliRunner().invoke(check, ["--results", str(tmp_path)])
+    assert large.exit_code == 1 and "refresh_cpu" in large.output
+    small = CliRunner().invoke(check, ["--results", str(tmp_path), "--gateways", "200", "--engines", "80"])
+    assert small.exit_code == 0, small.output
+
+
+def test_report_foretells_into_its_file_once_for_a_size_that_nobody_measured(tmp_path: Path) -> None:
+    results(tmp_path, "x.json", line("module_refresh_us", 3.5), 0.0)
+    ask = ["--results", str(tmp_path), "--foretell", "module_refresh_us", "--gateways", "200", "--engines"]
+    done = CliRunner().invoke(report, [*ask, "15000"])
+    assert done.exit_code == 0 and (tmp_path / "foretold.json").exists(), done.output
+    again = CliRunner().invoke(report, [*ask, "5000"])
+    assert again.exit_code == 1 and "measured already" in again.output
+    unknown = CliRunner().invoke(
+        report, ["--results", str(tmp_path), "--foretell", "x", "--gateways", "1", "--engines", "1"]
+    )
+    assert unknown.exit_code == 1 and "no row of the page uses x" in unknown.output
+
+
+def test_no_size_without_a_figure() -> None:
+    with pytest.raises(NotMeasured):
+        Size(1, 1, Figures([])).measured("module_refresh_us", "engines")
+    assert Found(rows.ROWS[0], None, "x", None, ()).share is None
--- a/whintrail/scale/candidates.py
+++ b/whintrail/scale/candidates.py
@@ -5,7 +5,7 @@
 SUBSET = Candidate(
     "a subset of engines",
     {
-        "choose_cpu": "sums are over the engines that are kept",
+        "choose_cpu": "weights and their sums are those of the engines that are kept",
         "refresh_stand": "`_refresh` goes through the engines that are kept",
         "delta_stand": "the module hears of a kept engine's change only, and of as many others",
         "links": "links go to kept engines only",
@@ -38,7 +38,7 @@
         "leader_cpu": "asks end at the regions' leaders",
         "leader_bytes": "asks end at the regions' leaders",
         "lease_cpu": "asks end at the regions' leaders: nine ask the root",
-        "leader_tick": "who is out is summed up in the region",
+        "leader_node": "who is out is summed up in the region, and asks end there",
         "bulletin_lists": "26 machines read it, and hand it on",
         "bulletin_changes": "26 machines read them, and hand them on",
         "list_apply": "one batch a fraction of a second, whatever came",
@@ -75,7 +75,7 @@
 INCREMENTAL = Candidate(
     "the module's sums kept step by step",
     {
-        "choose_cpu": "a tree of sums: a weight changes in log time (Fenwick 1994)",
+        "choose_cpu": "a tree of sums: a weight changes in log time",
         "delta_stand": "tables are changed in one place, not made anew",
         "delta_cpu": "tables are changed in one place, not made anew",
     },
--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -148,7 +148,7 @@
     budget_name: str
     place: str  # file and name of what carries it today; "" where nothing does
     formula: str  # slope x what it grows with, in words, where paces come in
-    setting: str = ""  # what mends it where nothing is missing but a setting: not ranked
+    mend: str = ""  # where no mechanism is missing: the setting, or the few lines, that mend it; not ranked
     total: bool = False  # a sum of other rows, which are ranked themselves
 
 
@@ -291,7 +291,7 @@
     at today's size already are equals and stay in the table's order. Sums, and what a setting mends, are left
     out: a mechanism would count twice by the first and for nothing by the second."""
     late = [f for f in found if f.crossing is not None and f.crossing.share <= 1.0]
-    late = [f for f in late if not f.row.total and not f.row.setting]
+    late = [f for f in late if not f.row.total and not f.row.mend]
     return sorted(late, key=lambda f: f.crossing.share if f.crossing is not None else math.inf)
 
 
--- a/whintrail/scale/inputs.py
+++ b/whintrail/scale/inputs.py
@@ -95,9 +95,9 @@
     _own(
         "change_round_trips",
         "count",
-        8.5,
-        "docs/versions.md, steps in turn: asked of the leader 0.5; proposed, entered, settled: decided 1 and told "
-        "0.5 each; the body fetched 1; its verdict, and acting on the merge, said 0.5 each; the last lease 1",
+        8,
+        "docs/versions.md, its steps in turn: asked of the leader 0.5; proposed, entered, settled: decided 1 "
+        "and told 0.5 each; the body fetched 1; verdict, and acting on the merge, said 0.5 each; a lease 1",
     ),
     _own("refresh_per_s", "1/s", 1e6 / brain.REFRESH_US, "brain.REFRESH_US: while work is out"),
     _own("sweep_per_s", "1/s", 1e6 / brain.SWEEP_US, "brain.SWEEP_US"),
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -102,6 +102,24 @@
 FACTS: tuple[Fact, ...] = (
     Fact("mean_one", MEAN, "one change, until all act on it", "s", _one, DUE, "one is due each 1.35 s"),
     Fact("mean_p99", MEAN, "the same, p99", "s", _one_p99, IN_FORCE, "3 s"),
+    Fact(
+        "mean_far",
+        MEAN,
+        "round trips of one change alone, the leader in the farthest region",
+        "s",
+        lambda s: exactly(given("change_round_trips") * given("rtt_region_s")),
+        IN_FORCE,
+        "3 s",
+    ),
+    Fact(
+        "mean_near",
+        MEAN,
+        "the same inside a region",
+        "s",
+        lambda s: exactly(given("change_round_trips") * given("rtt_zone_s")),
+        IN_FORCE,
+        "3 s",
+    ),
     Fact("mean_left", MEAN, "changes not made by the day's end", "count", _left_at_night, 0.0, "none"),
     Fact(
         "mean_told",
--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -3,8 +3,10 @@
 
 import math
 
+from whintrail.fleet import memo
 from whintrail.fleet.state import Propose, Settle
 from whintrail.fleet.wire import Any_, Entry, LeaseAsk, LeaseTell, Report, Told, encode
+from whintrail.interface import LoadReport
 from whintrail.scale.capacity import Estimate, Row, Size, exactly, per_s
 from whintrail.scale.inputs import value as given
 
@@ -34,6 +36,7 @@
 TOLD = datagram(Told(EPOCH, U32, U32, 3999, (Entry(U32, 9, Settle(U32)),)))
 PROPOSED = datagram(Told(EPOCH, U32, U32, 3999, (Entry(U32, 9, Propose(U32, U64, 3999, "w" * 16, EPOCH)),)))
 REPORT = datagram(Report(EPOCH, 9, U32, "b42", 3, U32, 0, (), ((U32, 9, 9, 9),) * 4))
+MEMO = len(memo.encode([memo.Sighting(0, 0, LoadReport(0.5, 1, 0, 0.5))])) + given("datagram_overhead")
 TOLD_CHANGE = PROPOSED + (ENTRIES - 1) * TOLD  # the entries of one change of settings, told once
 
 
@@ -56,15 +59,21 @@
     return share(each, STATEMENTS * given("peak_over_mean"))
 
 
-def _choose(s: Size) -> Estimate:
-    return share(s.measured("module_choose_us", "engines"), STATEMENTS)
+def _module(s: Size) -> Estimate:
+    each = s.measured("module_query_us", "engines") + s.measured("module_ended_us", "engines")
+    return share(each, STATEMENTS)
 
 
 def _whole_list_ms(s: Size) -> Estimate:
-    read = s.measured("list_read_whole_us", "engines")
+    read = s.measured("list_read_whole_us", "engines") + s.measured("gateway_update_whole_us", "engines")
     return (read + s.measured("module_list_whole_us", "engines")) * 1e-3
 
 
+def _delta_us(s: Size) -> Estimate:
+    read = s.measured("list_read_delta_us", "engines") + s.measured("gateway_update_delta_us", "engines")
+    return read + s.measured("module_list_delta_us", "engines")
+
+
 # --- Gateway, control.
 
 
@@ -77,7 +86,7 @@
 
 
 def _deltas(s: Size) -> Estimate:
-    return share(s.measured("module_list_delta_us", "engines"), CHANGES)
+    return share(_delta_us(s) + s.measured("list_digest_us", "engines"), CHANGES)
 
 
 def _memo_cpu(s: Size) -> Estimate:
@@ -91,7 +100,7 @@
 
 
 def _node_cpu(s: Size) -> Estimate:
-    return share(s.measured("node_tick_us", "gateways", role="gateway"), given("turns_per_s"))
+    return s.measured("node_cpu_share", "gateways", role="gateway")
 
 
 def _member_cpu(s: Size) -> Estimate:
@@ -107,15 +116,18 @@
 
 
 def _memo_bytes(s: Size) -> Estimate:
-    return s.measured("memo_bytes_per_s", "engines")
+    """Heard, and told to each gateway by itself: where one address stands for all, the first alone."""
+    told = s.measured("memo_sent_datagrams_per_s", "engines")
+    return s.measured("memo_bytes_per_s", "engines") + told * MEMO
 
 
 def _member_bytes(s: Size) -> Estimate:
-    return s.measured("member_bytes_per_s", "gateways", role="gateway")
+    return s.measured("node_bytes_per_s", "gateways", role="gateway")
 
 
 def _told_bytes(s: Size) -> Estimate:
-    return exactly(TOLD_CHANGE * RETELLS * CHANGES)
+    fetched = s.measured("version_body_fetch_bytes", "engines")
+    return (s.measured("log_told_bytes", "gateways") + fetched) * CHANGES
 
 
 def _bytes_sum(s: Size) -> Estimate:
@@ -169,14 +181,14 @@
     Row(
         "choose_cpu",
         DATA,
-        "choosing an engine, its sums rebuilt",
+        "a statement in the module: choosing, and its end",
         "share",
         "engines",
-        _choose,
+        _module,
         given("data_path_cores") - CPU,
         "a core less control's 1.4%",
         BRAIN + "_choose",
-        f"module_choose_us x {STATEMENTS:,.0f} statements/s",
+        f"(module_query_us + module_ended_us) x {STATEMENTS:,.0f} statements/s",
     ),
     Row(
         "statement_cpu",
@@ -208,11 +220,11 @@
         "a query that meets a list event waits",
         "ms",
         "engines",
-        lambda s: s.measured("module_list_delta_us", "engines") * 1e-3,
+        lambda s: _delta_us(s) * 1e-3,
         SLACK_MS,
         "the slack of a final answer",
         BRAIN + "_listed",
-        "module_list_delta_us, in one go",
+        "list_read_delta_us + gateway_update_delta_us + module_list_delta_us, in one go",
     ),
     Row(
         "whole_list_stand",
@@ -224,7 +236,7 @@
         SLACK_MS,
         "the slack of a final answer",
         "whintrail/gateway/bulletin.py:read_listed",
-        "list_read_whole_us + module_list_whole_us, in one go",
+        "list_read_whole_us + gateway_update_whole_us + module_list_whole_us, in one go",
     ),
     Row(
         "clients",
@@ -237,7 +249,7 @@
         "45% of 1,024 descriptors",
         "whintrail/gateway/limits.py:Limits.read",
         "client connections / gateways",
-        "sockets",
+        "setting `sockets`",
     ),
     Row(
         "links",
@@ -250,7 +262,7 @@
         "35% of 1,024 descriptors",
         "whintrail/gateway/links.py:Links",
         "engines x (1 - e^(-statements in the keepalive / engines))",
-        "sockets",
+        "setting `sockets`",
     ),
     Row(
         "client_memory",
@@ -263,7 +275,7 @@
         "192 MB, the platform's most",
         "whintrail/gateway/sessions.py:Session",
         "memory_a_connection_bytes x connections a gateway",
-        "memory",
+        "setting `memory_mb`",
     ),
     Row(
         "refresh_cpu",
@@ -299,7 +311,7 @@
         CPU,
         CPU_NAME,
         BRAIN + "_listed",
-        f"module_list_delta_us x {CHANGES:.2f}/s",
+        f"(the same + list_digest_us) x {CHANGES:.2f}/s",
     ),
     Row(
         "memo_cpu",
@@ -328,14 +340,14 @@
     Row(
         "node_cpu",
         CONTROL,
-        "the fleet's node, turns (membership's too)",
+        "the fleet's node in all, membership's too",
         "share",
         "gateways",
         _node_cpu,
         CPU,
         CPU_NAME,
         "whintrail/fleet/node.py:Node.tick",
-        f"node_tick_us x {given('turns_per_s'):g}/s",
+        "node_cpu_share",
     ),
     Row(
         "cpu_sum",
@@ -378,14 +390,14 @@
     Row(
         "memo_bytes",
         CONTROL,
-        "memos heard",
+        "memos heard and told",
         "bytes/s",
         "engines",
         _memo_bytes,
         BYTES,
         BYTES_NAME,
         BRAIN + "_probed",
-        "memo_bytes_per_s",
+        f"memo_bytes_per_s + memo_sent_datagrams_per_s x {MEMO:.0f} bytes",
     ),
     Row(
         "member_bytes",
@@ -397,7 +409,20 @@
         BYTES,
         BYTES_NAME,
         "whintrail/fleet/node.py:Node.flush",
+        "node_bytes_per_s",
+    ),
+    Row(
+        "member_bytes_sim",
+        CONTROL,
+        "the same, simulated",
+        "bytes/s",
+        "gateways",
+        lambda s: s.measured("member_bytes_per_s", "gateways", role="gateway"),
+        BYTES,
+        BYTES_NAME,
+        "whintrail/fleet/node.py:Node.flush",
         "member_bytes_per_s",
+        total=True,
     ),
     Row(
         "delta_bytes",
@@ -414,14 +439,14 @@
     Row(
         "told_bytes",
         CONTROL,
-        "what is decided, if all were settings",
+        "what is decided and its body, if all were settings",
         "bytes/s",
-        "neither",
+        "engines",
         _told_bytes,
         BYTES,
         BYTES_NAME,
         "whintrail/fleet/node.py:Node._retell",
-        f"{TOLD_CHANGE:.0f} bytes of {ENTRIES:g} entries x {RETELLS:g} tellings x {CHANGES:.2f}/s",
+        f"(log_told_bytes + version_body_fetch_bytes) x {CHANGES:.2f}/s",
     ),
     Row(
         "bytes_sum",
@@ -562,12 +587,12 @@
         CONTROL,
         "probes that a gateway sends",
         "1/s",
-        "engines",
-        lambda s: s.measured("probes_per_s", "engines"),
+        "both",
+        lambda s: s.measured("memo_datagrams_per_s", "engines") * (1 / s.gateways),
         None,
         "",
         BRAIN + "_probe",
-        "probes_per_s",
+        "memo_datagrams_per_s / gateways: what all hear, one sends",
     ),
     Row(
         "cold_part",
@@ -631,16 +656,40 @@
         total=True,
     ),
     Row(
-        "leader_tick",
+        "leader_node",
         LEADER,
-        "its turns",
+        "its node in all",
         "share",
         "gateways",
-        lambda s: share(s.measured("node_tick_us", "gateways", role="leader"), given("turns_per_s")),
+        lambda s: s.measured("node_cpu_share", "gateways", role="leader"),
         CORE,
         CORE_NAME,
         "whintrail/fleet/node.py:Node._lead",
-        f"node_tick_us x {given('turns_per_s'):g}/s",
+        "node_cpu_share of the leader",
+    ),
+    Row(
+        "leader_engines",
+        LEADER,
+        "all engines gathered, each turn",
+        "share",
+        "engines",
+        lambda s: share(s.measured("leader_engines_us", "engines", role="leader"), given("turns_per_s")),
+        CORE,
+        CORE_NAME,
+        "whintrail/gateway/fleet.py:FleetPart.engines",
+        f"leader_engines_us x {given('turns_per_s'):g}/s",
+    ),
+    Row(
+        "lease_answered",
+        LEADER,
+        f"asks for leases that are answered, at {given('messages_per_s'):g} messages/s",
+        "share",
+        "gateways",
+        lambda s: s.measured("leader_lease_answered", "gateways", role="leader"),
+        None,
+        "",
+        "whintrail/fleet/node.py:Spending.take",
+        "leader_lease_answered",
     ),
     Row(
         "lease_cpu",
@@ -714,7 +763,7 @@
         "`messages_per_s` as it comes",
         "whintrail/fleet/node.py:Spending.take",
         f"({ASKS:g} + {ENTRIES * RETELLS * CHANGES:.2f})/s a gateway",
-        "messages_per_s",
+        "setting `messages_per_s`",
     ),
     Row(
         "leads_as_gateway",
@@ -727,7 +776,7 @@
         BYTES_NAME,
         "whintrail/versions/guide.py:Guide.asked",
         f"{ASKS:g}/s x ({LEASE_ASK:.0f} + {LEASE_TELL:.0f} bytes) a gateway",
-        "council",
+        "setting `council`: gateways on control machines",
     ),
     Row(
         "bulletin_links",
@@ -789,6 +838,18 @@
         "",
         f"{ASKS:g}/s a gateway / 26",
     ),
+    Row(
+        "machine_cpu",
+        MACHINE,
+        "processor time of these",
+        "share",
+        "gateways",
+        lambda s: _lease_cpu(s) * (1 / given("control_machines")),
+        given("control_machine_cores"),
+        f"its {given('control_machine_cores'):g} cores",
+        "",
+        f"node_take_us x {ASKS:g}/s a gateway / 26",
+    ),
     Row(
         "slot",
         COMMAND,
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -135,8 +135,8 @@
         if row.role == rows.BULLETIN
         else ""
     )
-    if row.setting and found.passed:
-        return f"{today}; setting `{row.setting}`"
+    if row.mend and found.passed:
+        return f"{today}; {row.mend}"
     if found.passed:
         return f"**missing**; today {today}" if today else "**missing**"
     return today or "**missing**"
@@ -233,18 +233,18 @@
     return table(head, body)
 
 
-def by_setting(found: Sequence[Found]) -> str:
-    head = ("what", "at 4,000 and 15,000", "budget", "passed at", "setting")
+def mended(found: Sequence[Found]) -> str:
+    head = ("what", "at 4,000 and 15,000", "budget", "passed at", "mended by")
     body = [
         (
             f.row.what,
             ranged(f.value, f.row.unit),
             f.row.budget_name,
             where(f.row.along, f.crossing),
-            f.row.setting,
+            f.row.mend,
         )
         for f in found
-        if f.row.setting and f.passed and f.value is not None
+        if f.row.mend and f.passed and f.value is not None
     ]
     return table(head, body)
 
@@ -371,7 +371,7 @@
         "regions": lambda: regions(samples),
         "failing": lambda: failing(found),
         "ranking": lambda: ranking(found),
-        "settings": lambda: by_setting(found),
+        "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
