--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -55,6 +55,7 @@
     role: str | None = None
     note: str | None = None
     stat: Stat = "value"
+    day: str = "steady"
 
 
 class Figures:
@@ -70,7 +71,13 @@
             samples = [s for s in self.samples if s.quantity == use.quantity]
             if use.stat == "high":
                 samples = [_at_high(s) for s in samples]
-            given = {"kind": use.kind, "role": use.role, "subset": self.subset, "note": use.note}
+            given = {
+                "kind": use.kind,
+                "role": use.role,
+                "subset": self.subset,
+                "note": use.note,
+                "day": use.day,
+            }
             try:
                 self.fits[use] = fit(samples, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
             except FitError:
@@ -116,9 +123,10 @@
         role: str | None = None,
         note: str | None = None,
         stat: Stat = "value",
+        day: str = "steady",
     ) -> Estimate:
         """Errors: NotMeasured."""
-        use = Use(quantity, grows_with, kind, role, note, stat)
+        use = Use(quantity, grows_with, kind, role, note, stat, day)
         if use not in self.used:
             self.used.append(use)
         x = self.engines if grows_with == "engines" else self.gateways
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -204,6 +204,7 @@
 
     assert isinstance(found, Fit)
     here = [s for s in samples if s.quantity == use.quantity and s.subset == 0 and use.kind in (None, s.kind)]
+    here = [s for s in here if s.day == use.day]
     here = [s for s in here if use.role in (None, s.role) and use.note in (None, s.note)]
     xs = [getattr(s, use.grows_with) for s in here]
     drawn, axes = pyplot.subplots(figsize=(6, 4))  # type: ignore[attr-defined]
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -69,7 +69,7 @@
 
 
 def _newcomers(s: Size) -> Estimate:
-    return s.measured("state_newcomer_datagrams", "gateways") * (s.gateways / given("regions"))
+    return s.measured("state_newcomer_datagrams", "gateways", day="losses") * (s.gateways / given("regions"))
 
 
 def _engine_shut(s: Size) -> Estimate:
@@ -82,7 +82,7 @@
 
 
 def _known(s: Size) -> Estimate:
-    return s.measured("removal_known_s", "gateways")
+    return s.measured("removal_known_s", "gateways", day="losses")
 
 
 def _out_most(s: Size) -> float:
@@ -169,7 +169,7 @@
         BACK,
         "until one holds the state",
         "s",
-        lambda s: s.measured("state_newcomer_s", "gateways"),
+        lambda s: s.measured("state_newcomer_s", "gateways", day="losses"),
         IN_FORCE,
         "3 s",
     ),
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -184,7 +184,8 @@
 
 
 def _of(use: Use) -> str:
-    words = [use.kind, use.role, use.note, "99th or 95th hundredth" if use.stat == "high" else None]
+    day = use.day if use.day != "steady" else None
+    words = [use.kind, use.role, use.note, day, "99th or 95th hundredth" if use.stat == "high" else None]
     return ", ".join(word for word in words if word) or "gateway"
 
 
