--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -13,7 +13,7 @@
 from whintrail.cli.output import emit, format_option
 from whintrail.scale import capacity, rates, rows, tables
 from whintrail.scale.capacity import Figures, Found, Use
-from whintrail.scale.fitting import FitError, Grows, fit
+from whintrail.scale.fitting import Fit, FitError, Grows, fit, selected
 from whintrail.scale.results import Results, ResultsError, Sample, load, save, this_commit, this_machine
 from whintrail.scale.tables import Foretold, Prediction
 
@@ -199,13 +199,9 @@
     return made
 
 
-def _plot_one(pyplot: object, samples: Sequence[Sample], use: Use, found: object, path: Path) -> None:
-    from whintrail.scale.fitting import Fit
-
-    assert isinstance(found, Fit)
-    here = [s for s in samples if s.quantity == use.quantity and s.subset == 0 and use.kind in (None, s.kind)]
-    here = [s for s in here if s.day == use.day]
-    here = [s for s in here if use.role in (None, s.role) and use.note in (None, s.note)]
+def _plot_one(pyplot: object, samples: Sequence[Sample], use: Use, found: Fit, path: Path) -> None:
+    given = {"kind": use.kind, "role": use.role, "note": use.note, "day": use.day}
+    here = selected(samples, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
     xs = [getattr(s, use.grows_with) for s in here]
     drawn, axes = pyplot.subplots(figsize=(6, 4))  # type: ignore[attr-defined]
     ys = [s.high if use.stat == "high" else s.value for s in here]
@@ -213,8 +209,9 @@
     most = capacity.coming()[1 if use.grows_with == "engines" else 0]
     line = [max(1.0, min(xs)) * (most / max(1.0, min(xs))) ** (place / 60) for place in range(61)]
     values = [found.at(x) for x in line]
+    floor = max(1e-12, min(ys)) / 10  # a range that reaches below 0 has no place on a logarithmic axis
     axes.plot(line, [v[0] for v in values], color="C1", label=found.form)
-    axes.fill_between(line, [max(1e-12, v[1]) for v in values], [v[2] for v in values], color="C1", alpha=0.2)
+    axes.fill_between(line, [max(floor, v[1]) for v in values], [v[2] for v in values], color="C1", alpha=0.2)
     axes.set(xscale="log", yscale="log", xlabel=use.grows_with, ylabel=f"{use.quantity} ({found.unit})")
     axes.legend()
     axes.grid(alpha=0.3)
@@ -248,10 +245,14 @@
     "--plots", type=click.Path(path_type=Path, file_okay=False), help="Write plots here (needs matplotlib)."
 )
 @click.option(
-    "--foretell", "told", metavar="QUANTITY", help="Write a prediction before its run, and nothing else."
+    "--foretell",
+    "told",
+    metavar="QUANTITY",
+    multiple=True,
+    help="Write predictions before their run, and nothing else.",
 )
-@click.option("--gateways", type=click.IntRange(1), help="Of the prediction.")
-@click.option("--engines", type=click.IntRange(1), help="Of the prediction.")
+@click.option("--gateways", type=click.IntRange(0), help="Of the prediction.")
+@click.option("--engines", type=click.IntRange(0), help="Of the prediction; 0 where it plays no part.")
 @click.option(
     "--kind", default="core", show_default=True, help="Of the prediction: core, hollow, real, simulated."
 )
@@ -264,7 +265,7 @@
     folder: Path,
     page: Path,
     plots: Path | None,
-    told: str | None,
+    told: tuple[str, ...],
     gateways: int | None,
     engines: int | None,
     kind: str,
@@ -278,11 +279,11 @@
     Examples:
       whintrail scale report
       whintrail scale report --plots plots
-      whintrail scale report --foretell module_refresh_us --gateways 4000 --engines 15000
+      whintrail scale report --foretell list_line_bytes --gateways 200 --engines 10000
     """
     began, machine = time.time(), this_machine()
     results = _read(folder)
-    if told is not None:
+    if told:
         if gateways is None or engines is None:
             raise click.UsageError("--foretell needs --gateways and --engines")
         given = {"kind": kind, "role": role, "subset": subset, "note": note}
@@ -310,18 +311,24 @@
 
 
 def _foretell(
-    results: Mapping[str, Results], folder: Path, quantity: str, given: Mapping[str, object], now: float
+    results: Mapping[str, Results],
+    folder: Path,
+    quantities: Sequence[str],
+    given: Mapping[str, object],
+    now: float,
 ) -> None:
     samples = [s for r in results.values() for s in r.samples]
-    like = msgspec.convert(
-        {"quantity": quantity, "unit": "", "value": 0.0, "low": 0.0, "high": 0.0, "n": 1, **given}, Sample
-    )
+    blank = {"unit": "", "value": 0.0, "low": 0.0, "high": 0.0, "n": 1}
+    made = []
     try:
-        made = foretell(samples, like, grows_with(quantity, samples), now)
+        for name in quantities:
+            like = msgspec.convert({"quantity": name, **blank, **given}, Sample)
+            made.append(foretell(samples, like, grows_with(name, samples), now))
     except (FitError, ValueError) as error:
         raise click.ClickException(str(error)) from error
-    _write(folder / FORETOLD, Foretold(predictions=[*read_foretold(folder), made]))
-    click.echo(f"{quantity}: {tables.ranged(capacity.Estimate(made.value, made.low, made.high), made.unit)}")
+    _write(folder / FORETOLD, Foretold(predictions=[*read_foretold(folder), *made]))
+    for p in made:
+        click.echo(f"{p.quantity}: {tables.ranged(capacity.Estimate(p.value, p.low, p.high), p.unit)}")
 
 
 @click.command()
