--- /dev/null
+++ b/whintrail/scale/control.py
@@ -0,0 +1,89 @@
+"""The child's side of a scale run's control channel: a JSON object a line on stdin, its answer on stdout.
+
+    {"id": 3, "do": "mute", "on": true}     from the run
+    {"id": 3, "ok": null}                   from the child; or {"id": 3, "error": "why"}
+
+The first request is `start`. A child ends when its stdin does, however its parent ended.
+"""
+
+import asyncio
+import inspect
+import os
+import resource
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import orjson
+
+Handler = Callable[[dict[str, Any]], Any]  # the request's fields -> what JSON can hold, or an awaitable of it
+Start = Callable[[dict[str, Any]], Awaitable[tuple[Any, Mapping[str, Handler]]]]
+
+
+class Control:
+    """Takes requests in their order; one that waits does not hold up those behind it."""
+
+    def __init__(self, start: Start) -> None:
+        self.handlers: dict[str, Handler] = {"start": self._start}
+        self.begin = start
+        self.data = bytearray()
+        self.ended = asyncio.get_running_loop().create_future()
+        self.tasks: set[asyncio.Task[None]] = set()
+        os.set_blocking(0, False)
+        asyncio.get_running_loop().add_reader(0, self._readable)
+
+    async def _start(self, fields: dict[str, Any]) -> Any:
+        ready, handlers = await self.begin(fields)
+        self.handlers.update(handlers)
+        return ready
+
+    def _readable(self) -> None:
+        try:
+            chunk = os.read(0, 1 << 20)
+        except BlockingIOError:
+            return
+        if not chunk:
+            asyncio.get_running_loop().remove_reader(0)
+            if not self.ended.done():
+                self.ended.set_result(None)
+            return
+        self.data += chunk
+        if b"\n" not in chunk:
+            return
+        *lines, rest = bytes(self.data).split(b"\n")
+        self.data = bytearray(rest)
+        for line in lines:
+            task = asyncio.get_running_loop().create_task(self._take(orjson.loads(line)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _take(self, request: dict[str, Any]) -> None:
+        number = request.pop("id")
+        try:
+            answer = self.handlers[request.pop("do")](request)
+            if inspect.isawaitable(answer):
+                answer = await answer
+            reply = orjson.dumps({"id": number, "ok": answer}, option=orjson.OPT_NON_STR_KEYS)
+        except Exception as error:  # told to whoever asked
+            reply = orjson.dumps({"id": number, "error": f"{type(error).__name__}: {error}"})
+        view = memoryview(reply + b"\n")
+        while view:  # the parent always reads
+            view = view[os.write(1, view) :]
+
+
+def serve(start: Start) -> None:
+    """Run a child until its stdin ends: `start(config)` gives what to answer and the further handlers."""
+    import uvloop
+
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+    async def run() -> None:
+        await Control(start).ended
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        try:
+            runner.run(run())
+        except KeyboardInterrupt:
+            sys.exit(130)
+    os._exit(0)  # thousands of sockets need no closing one by one
--- a/whintrail/standins/fleet.py
+++ b/whintrail/standins/fleet.py
@@ -37,6 +37,18 @@
     end: float = 0.0
 
 
+def requests(data: bytearray) -> Iterator[tuple[list[bytes], bytes]]:
+    """The whole requests at the start of the data, each taken from it: its words and the statement."""
+    while (end := data.find(b"\r\n")) >= 0:
+        words = bytes(data[:end]).split(b" ")
+        length = int(words[3]) + 2 if words[0] == b"do" else 0
+        if len(data) < end + 2 + length:
+            return
+        body = bytes(data[end + 2 : end + length])
+        del data[: end + 2 + length]
+        yield words, body
+
+
 class FleetEngine:
     """Serves what it is sent at once; requests share its cores."""
 
@@ -98,7 +110,7 @@
         try:
             while count := await loop.sock_recv_into(sock, chunk):
                 data += memoryview(chunk)[:count]
-                for words, body in self._requests(data):
+                for words, body in requests(data):
                     self._take(sock, words, body)
         except (OSError, ValueError):
             pass
@@ -109,17 +121,6 @@
                 self._forget(key)
             sock.close()
 
-    @staticmethod
-    def _requests(data: bytearray) -> Iterator[tuple[list[bytes], bytes]]:
-        while (end := data.find(b"\r\n")) >= 0:
-            words = bytes(data[:end]).split(b" ")
-            length = int(words[3]) + 2 if words[0] == b"do" else 0
-            if len(data) < end + 2 + length:
-                return
-            body = bytes(data[end + 2 : end + length])
-            del data[: end + 2 + length]
-            yield words, body
-
     def _take(self, sock: socket.socket, words: list[bytes], body: bytes) -> None:
         match words[0]:
             case b"do":
