--- /dev/null
+++ b/whintrail/scale/load.py
@@ -0,0 +1,177 @@
+"""Clients of real gateways: queries at a stated rate or as fast as they come, idle sessions, empty queries.
+
+A module for `control.serve`, so that clients have a core of their own and gateways another.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from random import Random
+from typing import Any
+
+import psutil  # type: ignore[import-untyped]
+
+from whintrail.scale.control import Handler, serve
+from whintrail.scale.measure import Delays
+from whintrail.standins.load import Load, LoadClient, until_serves
+from whintrail.standins.scripted import settings
+
+MIX = [["lookup", 5.0, 1.0]]  # class, milliseconds on one core, weight
+
+
+def gateway_config(
+    number: int,
+    listen: str,
+    bulletin: str,
+    known: Mapping[str, Any],
+    fleet_size: int = 1,
+    zones: int = 1,
+    sockets: int = 1024,
+    memory_mb: int = 192,
+    peers: Mapping[str, Any] | None = None,
+    **limits: Any,
+) -> dict[str, Any]:
+    """Of a real gateway on loopback before hollow servers. `peers`: peer_listen, peers and, where one address
+    stands for all, peers_all."""
+    given = settings(MayTell=peers is not None, **limits)
+    names = [f"z{zone + 1}" for zone in range(zones)]
+    place = {"FleetSize": fleet_size, "Me": number, "Zones": names, "Zone": names[number % zones]}
+    return {
+        "name": f"n{number}",
+        "listen": listen,
+        "seed": f"{number + 1:016x}",
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
+        "bulletin": bulletin,
+        "known": known,
+        "settings": {**given, **place},
+        **(peers or {}),
+    }
+
+
+def connections_to(pid: int, ports: set[int]) -> int:
+    """Open TCP connections of a process to these ports, its engines'."""
+    found = psutil.Process(pid).net_connections("tcp4")
+    return sum(bool(c.raddr) and c.raddr.port in ports and c.status == "ESTABLISHED" for c in found)
+
+
+class Clients:
+    def __init__(self, config: Mapping[str, Any]) -> None:
+        self.random = Random(int(config.get("seed", 1)))
+        self.idle: list[LoadClient] = []
+        self.pingers: list[asyncio.Task[None]] = []
+        self.pings, self.longest_s, self.lost = Delays(), 0.0, 0
+
+    async def load(self, fields: Mapping[str, Any]) -> dict[str, Any]:
+        """`rate` queries a second (Poisson) to each of `ports` for `seconds`; counts of ends (`served`, an
+        SQLSTATE, `lost`) and the histogram of those served."""
+        mix = [(str(name), float(cost), float(weight)) for name, cost, weight in fields.get("mix", MIX)]
+        loads = [
+            Load(port, float(fields["rate"]), mix, self.random.getrandbits(32)) for port in fields["ports"]
+        ]
+        began = time.monotonic()
+        await asyncio.gather(*(load.run(float(fields["seconds"])) for load in loads))
+        ends: Counter[str] = Counter()
+        delays = Delays()
+        for load in loads:
+            ends += load.ends
+            for delay in load.latencies:
+                delays.add(delay)
+            load.close()
+        asked, took_s = sum(load.asked for load in loads), time.monotonic() - began
+        return {"ends": dict(ends), "asked": asked, "took_s": took_s, "delays": delays.encode()}
+
+    async def most(self, fields: Mapping[str, Any]) -> dict[str, Any]:
+        """As many as one gateway at `port` does: `sessions` that ask again as soon as they are answered, for
+        `seconds`; queries of `cost_ms`."""
+        ends: Counter[str] = Counter()
+        delays, until = Delays(), time.monotonic() + float(fields["seconds"])
+
+        async def one() -> None:
+            client = LoadClient(int(fields["port"]))
+            try:
+                while (now := time.monotonic()) < until:
+                    end = await client.ask(self._query(float(fields.get("cost_ms", 1.0))))
+                    ends[end] += 1
+                    if end == "served":
+                        delays.add(time.monotonic() - now)
+            except OSError:
+                ends["lost"] += 1
+            finally:
+                client.close()
+
+        began = time.monotonic()
+        await asyncio.gather(*(one() for _ in range(int(fields["sessions"]))))
+        return {"ends": dict(ends), "took_s": time.monotonic() - began, "delays": delays.encode()}
+
+    def _query(self, cost_ms: float) -> str:
+        call, group = f"{self.random.getrandbits(64):016x}", self.random.randrange(50)
+        fields = f"op=lookup,call={call},ttl=6000,work={cost_ms:.1f},memory=8"
+        return f"/* {fields} */ SELECT 1 FROM sales_{group}.t -- cost={cost_ms}"
+
+    async def hold(self, fields: Mapping[str, Any]) -> int:
+        """Open `sessions` more at `port`, and leave them idle; how many are held in all."""
+        for _ in range(int(fields["sessions"])):
+            client = LoadClient(int(fields["port"]))
+            client.chunk = bytearray(512)
+            await client.open()
+            self.idle.append(client)
+        return len(self.idle)
+
+    def release(self, _: Mapping[str, Any]) -> None:
+        while self.idle:
+            self.idle.pop().close()
+
+    def ping(self, fields: Mapping[str, Any]) -> None:
+        """From now on an empty query each `every_s` at each of `ports`, on a session of its own: how long the
+        gateway's loop stands at most. An answer that is late holds up the next, and is counted once."""
+        for task in self.pingers:
+            task.cancel()
+        every_s = float(fields.get("every_s", 0.01))
+        loop = asyncio.get_running_loop()
+        self.pingers = [loop.create_task(self._pinging(port, every_s)) for port in fields["ports"]]
+        self.stalls({})
+
+    async def _pinging(self, port: int, every_s: float) -> None:
+        client = LoadClient(port)
+        try:
+            while True:
+                began = time.monotonic()
+                try:
+                    await client.ask("")
+                except OSError:  # the gateway is down, or made room for another session
+                    self.lost += 1
+                    client.close()
+                    await asyncio.sleep(0.05)
+                    continue
+                passed = time.monotonic() - began
+                self.pings.add(passed)
+                self.longest_s = max(self.longest_s, passed)
+                await asyncio.sleep(max(0.0, every_s - passed))
+        finally:
+            client.close()
+
+    def stalls(self, _: Mapping[str, Any]) -> dict[str, Any]:
+        """Since the last call: the longest answer to an empty query in seconds, all of them, and how many
+        were lost."""
+        told = {"longest_s": self.longest_s, "delays": self.pings.encode(), "lost": self.lost}
+        self.pings, self.longest_s, self.lost = Delays(), 0.0, 0
+        return told
+
+    async def serves(self, fields: Mapping[str, Any]) -> list[bool]:
+        """Whether each of `ports` answers a start-up within `tries` tries, 50 ms apart."""
+        ports: Sequence[int] = fields["ports"]
+        return await asyncio.gather(*(until_serves(port, int(fields.get("tries", 200))) for port in ports))
+
+    def handlers(self) -> dict[str, Handler]:
+        names = ("load", "most", "hold", "release", "ping", "stalls", "serves")
+        return {name: getattr(self, name) for name in names}
+
+
+async def start(config: dict[str, Any]) -> tuple[Any, Mapping[str, Handler]]:
+    """`seed`; answers nothing."""
+    return None, Clients(config).handlers()
+
+
+if __name__ == "__main__":
+    serve(start)
--- a/whintrail/scale/procs.py
+++ b/whintrail/scale/procs.py
@@ -48,7 +48,9 @@
 
     def __init__(self, name: str, role: str, process: asyncio.subprocess.Process, log: Path) -> None:
         self.name, self.role, self.process, self.log = name, role, process, log
-        self.pid = process.pid
+        self.pid, self.handle = process.pid, -1
+        with suppress(ProcessLookupError):  # it has ended already
+            self.handle = os.pidfd_open(process.pid)
         self.asked: dict[int, asyncio.Future[Any]] = {}
         self.numbered = 0
         self.reading: asyncio.Task[None] | None = None
@@ -97,9 +99,13 @@
             self.asked.pop(number, None)
 
     def signal(self, number: signal.Signals) -> None:
-        """SIGSTOP, SIGCONT, SIGTERM, SIGKILL, SIGUSR1: to this process alone."""
+        """SIGSTOP, SIGCONT, SIGTERM, SIGKILL, SIGUSR1: to this process alone, nothing if it has ended.
+
+        By its pidfd: `Popen.send_signal` polls first, and so takes the exit status from who waits for it.
+        """
         with suppress(ProcessLookupError):
-            self.process.send_signal(number)
+            if self.handle >= 0:
+                signal.pidfd_send_signal(self.handle, number)
 
     async def ended(self, timeout_s: float) -> bool:
         with suppress(TimeoutError):
@@ -114,6 +120,9 @@
         await self.process.wait()
         if self.reading is not None:
             await asyncio.gather(self.reading, return_exceptions=True)
+        if self.handle >= 0:
+            os.close(self.handle)
+            self.handle = -1
 
 
 class Group:
