Take load at two rates, repeated, so that one more query's cost stands apart from control

Need: CPU a request holds the module's control work, which grows with the list. Change: phases of load by turns at a rate and twice that; descriptors, sessions and an operator's file as options; a closed loop from two client processes.

--- a/whintrail/scale/measure.py
+++ b/whintrail/scale/measure.py
@@ -11,7 +11,7 @@
 
 import psutil  # type: ignore[import-untyped]
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from whintrail.scale.results import Kind, Sample, sample
 
@@ -153,7 +153,7 @@
     for quantity, figures in values.items():
         if quantity in UNITS:
             one = sample(quantity, UNITS[quantity], sizes, figures, kind)
-            taken.append(Sample(**{field: getattr(one, field) for field in one.__struct_fields__} | more))
+            taken.append(structs.replace(one, **more))
     return taken
 
 
--- a/whintrail/scale/real.py
+++ b/whintrail/scale/real.py
@@ -13,11 +13,14 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
+import msgspec
+from msgspec import Struct, structs
 
 from whintrail.gateway.limits import MEGABYTE
 from whintrail.scale import bulletin, engines, load
@@ -28,6 +31,7 @@
 from whintrail.standins.scripted import listener
 
 ENGINES_A_PROCESS = 4000
+Command = TypeVar("Command", bound=Callable[..., Any])
 EVENTS = re.compile(r"event=bulletin\b.*?\bevents=(\d+)")
 
 
@@ -42,8 +46,11 @@
 class Site:
     """Hollow servers and real gateways of one size, all of them started."""
 
-    def __init__(self, group: Group, count: int, gateways: int, sockets: int) -> None:
-        self.group, self.count, self.sockets = group, count, sockets
+    def __init__(
+        self, group: Group, count: int, gateways: int, sockets: int, operator: dict[str, Any] | None = None
+    ) -> None:
+        """`operator`: what the gateways' operator's file holds; None: they have none."""
+        self.group, self.count, self.sockets, self.operator = group, count, sockets, operator
         self.ports = free_ports(gateways)
         self.gateways: list[Child] = []
         self.events = [1] * gateways  # of the bulletin, that each was seen to hold
@@ -69,7 +76,7 @@
             listen = f"127.0.0.1:{port}"
             config = load.gateway_config(number, listen, told["where"], known, sockets=self.sockets)
             began = time.monotonic()
-            self.gateways.append(await group.start_gateway(f"n{number}", config))
+            self.gateways.append(await group.start_gateway(f"n{number}", config, self.operator))
             if not all(await self.clients.ask("serves", ports=[port], tries=600)):
                 raise BoundError(f"n{number} does not serve: see its log")
             self.ready_s.append(time.monotonic() - began)
@@ -106,8 +113,8 @@
 
 
 class Measure:
-    def __init__(self, site: Site, rate: float, seconds: float) -> None:
-        self.site, self.rate, self.seconds = site, rate, seconds
+    def __init__(self, site: Site, rate: float, seconds: float, subset: int) -> None:
+        self.site, self.rate, self.seconds, self.subset = site, rate, seconds, subset
         self.sizes = len(site.ports), site.count
         self.taken: list[Sample] = []
 
@@ -115,9 +122,11 @@
         if not values:
             return
         one = sample(quantity, unit, self.sizes, list(values), "real")
-        given = {field: getattr(one, field) for field in one.__struct_fields__}
-        self.taken.append(Sample(**{**given, "note": note, **more}))
-        click.echo(f"  {quantity} {one.value:.6g} {unit} {note}", err=True)
+        self.add(structs.replace(one, note=note, **more))
+
+    def add(self, one: Sample) -> None:
+        self.taken.append(structs.replace(one, subset=self.subset))
+        click.echo(f"  {one.quantity} {one.value:.6g} {one.unit} {one.note}", err=True)
 
     async def idle(self) -> None:
         site = self.site
@@ -131,34 +140,61 @@
         self.note("rss_bytes", "bytes", [r.rss_bytes for r in after], "idle")
         self.note("list_line_bytes", "bytes", [site.line_bytes], role="bulletin")
 
-    async def load(self) -> None:
-        site = self.site
-        probes_before = sum([(await child.ask("counts"))["probes"] for child in site.engines])
-        before = [read_process(child.pid) for child in site.gateways]
-        told = await site.clients.ask(
-            "load", ports=site.ports, rate=self.rate, seconds=self.seconds, timeout_s=self.seconds + 30
-        )
-        after = [read_process(child.pid) for child in site.gateways]
-        probes = sum([(await child.ask("counts"))["probes"] for child in site.engines]) - probes_before
-        cpu = [b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True)]
-        passed, asked = after[0].at_s - before[0].at_s, told["asked"]
-        served, note = told["ends"].get("served", 0), f"at {self.rate:.0f}/s a gateway"
-        delays = Delays.merged([told["delays"]])
+    async def load(self, repeats: int) -> None:
+        """At the rate and at twice the rate by turns; what one more query costs is in the difference."""
+        site, delays, ends = self.site, Delays(), Counter[str]()
+        per_query: list[float] = []
+        marginal: list[float] = []
+        shares: list[float] = []
+        probes: list[float] = []
+        for _ in range(repeats):
+            one = await self._loaded(self.rate)
+            two = await self._loaded(2 * self.rate)
+            delays.histogram.decode_and_add(one["delays"].encode())
+            ends += Counter(one["ends"])
+            shares += one["shares"]
+            probes.append(one["probes_per_s"])
+            if served := one["served_per_s"]:
+                per_query.append(sum(one["shares"]) / served * 1e6)
+            if two["served_per_s"] > one["served_per_s"]:
+                more = sum(two["shares"]) - sum(one["shares"])
+                marginal.append(more / (two["served_per_s"] - one["served_per_s"]) * 1e6)
+        note, served = f"at {self.rate:.0f}/s a gateway", ends["served"]
+        self.note("query_cpu_us", "us", per_query, f"{note}, control work in it")
+        self.note("query_marginal_cpu_us", "us", marginal, f"from {self.rate:.0f} to {2 * self.rate:.0f}/s")
         if served:
-            self.note("query_cpu_us", "us", [sum(cpu) / served * 1e6], f"{note}, control work in it")
-            self.taken.append(
-                delays.sample("query_p99_ms", "ms", self.sizes, "real", at=0.99, note=f"{note}, high: p99")
-            )
-            click.echo(f"  query p50 {delays.at(0.5):.4f} p99 {delays.at(0.99):.4f} s", err=True)
-        self.note("load_cpu_share", "share", [c / passed for c in cpu], note)
-        ends = ", ".join(f"{end} {count}" for end, count in sorted(told["ends"].items()))
-        self.note("not_served_share", "share", [1 - served / max(1, asked)], f"{note}: {ends}")
-        counted = [float(load.connections_to(child.pid, site.engine_ports)) for child in site.gateways]
-        self.note("connections", "count", counted, f"to engines, {site.sockets} descriptors allowed")
-        self.note("probes_per_s", "count", [probes / passed / len(site.ports)], note)
+            self.add(delays.sample("query_p99_ms", "ms", self.sizes, "real", at=0.99, note=note))
+            self.add(delays.sample("query_p50_ms", "ms", self.sizes, "real", note=note))
+        self.note("load_cpu_share", "share", shares, note)
+        counted = ", ".join(f"{end} {count}" for end, count in sorted(ends.items()))
+        self.note("not_served_share", "share", [1 - served / max(1, ends.total())], f"{note}: {counted}")
+        links = [float(load.connections_to(child.pid, site.engine_ports)) for child in site.gateways]
+        self.note("connections", "count", links, f"to engines, {site.sockets} descriptors allowed")
+        self.note("probes_per_s", "count", probes, f"{note}, by gateway")
+        after = [read_process(child.pid) for child in site.gateways]
         self.note("descriptors", "count", [r.descriptors for r in after], note)
         self.note("rss_bytes", "bytes", [r.rss_bytes for r in after], note)
 
+    async def _loaded(self, rate: float) -> dict[str, Any]:
+        site, probes = self.site, await self._probes()
+        before = [read_process(child.pid) for child in site.gateways]
+        patience = self.seconds + 30
+        told: dict[str, Any] = await site.clients.ask(
+            "load", ports=site.ports, rate=rate, seconds=self.seconds, timeout_s=patience
+        )
+        after = [read_process(child.pid) for child in site.gateways]
+        passed = after[0].at_s - before[0].at_s
+        shares = [(b.cpu_s - a.cpu_s) / (b.at_s - a.at_s) for a, b in zip(before, after, strict=True)]
+        return {
+            **told,
+            "shares": shares,
+            "served_per_s": told["ends"].get("served", 0) / passed,
+            "probes_per_s": (await self._probes() - probes) / passed / len(site.ports),
+        }
+
+    async def _probes(self) -> int:
+        return sum([int((await child.ask("counts"))["probes"]) for child in self.site.engines])
+
     async def lists(self, deltas: int, wholes: int) -> None:
         site = self.site
         await site.pinger.ask("ping", ports=site.ports, every_s=0.01)
@@ -202,14 +238,16 @@
     async def most(self, sessions: int) -> None:
         site = self.site
         before = read_process(site.gateways[0].pid)
-        told = await site.clients.ask(
-            "most", port=site.ports[0], sessions=sessions, seconds=self.seconds, timeout_s=self.seconds + 30
-        )
+        asked = {"port": site.ports[0], "sessions": sessions // 2, "seconds": self.seconds}
+        patience = self.seconds + 30
+        halves = (child.ask("most", timeout_s=patience, **asked) for child in (site.clients, site.pinger))
+        told = await asyncio.gather(*halves)
         after = read_process(site.gateways[0].pid)
         share = (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
-        served, asked = told["ends"].get("served", 0), sum(told["ends"].values())
-        note = f"one gateway, {sessions} sessions, {share:.2f} of a core, {served} of {asked} served"
-        self.note("queries_per_s", "count", [served / told["took_s"]], note)
+        ends = sum((Counter[str](half["ends"]) for half in told), Counter[str]())
+        note = f"one gateway, {sessions} sessions, {share:.2f} of a core"
+        note += f", {ends['served']} of {ends.total()} served"
+        self.note("queries_per_s", "count", [ends["served"] / max(half["took_s"] for half in told)], note)
 
     async def sessions(self, count: int) -> None:
         site, rss = self.site, []
@@ -223,66 +261,79 @@
         await site.clients.ask("release")
 
 
-async def measure(
-    folder: Path,
-    sizes: Sequence[int],
-    gateways: int,
-    rate: float,
-    seconds: float,
-    bounds: tuple[float, float],
-) -> list[Sample]:
+class Asked(Struct, frozen=True, kw_only=True):
+    """What to measure."""
+
+    sizes: tuple[int, ...]  # engines on the list
+    gateways: int
+    rate: float
+    phase_seconds: float
+    repeats: int
+    descriptors: int
+    sessions: int
+    operator: dict[str, Any] | None
+    subset: int
+
+
+async def measure(folder: Path, asked: Asked, memory_mb: float, seconds: float) -> list[Sample]:
+    """Size by size; where a bound is passed, what was taken until then."""
     taken: list[Sample] = []
-    async with Group(folder, bounds[0], bounds[1]) as whole:  # bounds all sizes together in time
-        for count in sizes:
-            click.echo(f"{count} engines, {gateways} gateways", err=True)
-            left = bounds[1] - (time.monotonic() - whole.began)
-            async with Group(folder / str(count), bounds[0], left) as group:
-                site = Site(group, count, gateways, sockets=1024)
-
-                async def work(site: Site = site, last: bool = count == sizes[-1]) -> None:
-                    await site.start()
-                    one = Measure(site, rate, seconds)
-                    try:
-                        await one.idle()
-                        await one.load()
-                        await one.lists(deltas=10, wholes=3)
-                        await one.most(sessions=64)
-                        await one.sessions(400)
-                    finally:
-                        taken.extend(one.taken)
-
-                try:
-                    await group.within(work())
-                except BoundError as error:
-                    click.echo(f"ended: {error}; what was taken is kept", err=True)
-                    return taken
+    ends = time.monotonic() + seconds
+    for count in asked.sizes:
+        click.echo(f"{count} engines, {asked.gateways} gateways", err=True)
+        async with Group(folder / str(count), memory_mb, ends - time.monotonic()) as group:
+            site = Site(group, count, asked.gateways, asked.descriptors, asked.operator)
+            one = Measure(site, asked.rate, asked.phase_seconds, asked.subset)
+
+            async def work(site: Site = site, one: Measure = one) -> None:
+                await site.start()
+                await one.idle()
+                await one.load(asked.repeats)
+                await one.lists(deltas=10, wholes=3)
+                await one.most(sessions=128)
+                await one.sessions(asked.sessions)
+
+            try:
+                await group.within(work())
+            except BoundError as error:
+                click.echo(f"ended at {count} engines: {error}", err=True)
+                break
+            finally:
+                taken.extend(one.taken)
     return taken
 
 
+def bound_option(name: str, default: float, text: str) -> Callable[[Command], Command]:
+    return click.option(name, type=click.FloatRange(min=0.01), default=default, show_default=True, help=text)
+
+
 @click.command()
 @click.option("--engines", "sizes", multiple=True, type=click.IntRange(1, 15_000), help="Once for each size.")
 @click.option("--gateways", type=click.IntRange(1, 20), default=2, show_default=True)
-@click.option("--rate", type=float, default=100.0, show_default=True, help="Queries a second a gateway.")
-@click.option("--phase-seconds", type=float, default=8.0, show_default=True, help="Of each measuring phase.")
-@click.option("--seconds", type=float, default=900.0, show_default=True, help="End by itself after so long.")
-@click.option(
-    "--memory-mb", type=float, default=6000.0, show_default=True, help="End by itself over so much."
-)
+@click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True, help="Of the load.")
+@click.option("--descriptors", type=click.IntRange(64, 16_000), default=1024, show_default=True)
+@click.option("--sessions", type=click.IntRange(4, 7000), default=400, show_default=True, help="Idle ones.")
+@click.option("--file", "file", type=click.Path(path_type=Path), help="The gateways' operator's file, JSON.")
+@click.option("--subset", type=int, default=0, help="How many engines each keeps by that file.")
+@bound_option("--rate", 100.0, "Queries a second a gateway.")
+@bound_option("--phase-seconds", 5.0, "Of each phase of measuring.")
+@bound_option("--seconds", 900.0, "End by itself after so long.")
+@bound_option("--memory-mb", 6000.0, "End by itself over so much.")
 @click.option("--to", type=click.Path(path_type=Path, dir_okay=False), help="The file of results.")
 def real(
     sizes: tuple[int, ...],
-    gateways: int,
-    rate: float,
-    phase_seconds: float,
+    file: Path | None,
+    to: Path | None,
     seconds: float,
     memory_mb: float,
-    to: Path | None,
+    **given: Any,
 ) -> None:
     """Measure real gateways alone before hollow engines and a hollow bulletin."""
     began, machine = time.time(), this_machine()
+    operator = None if file is None else msgspec.json.decode(file.read_bytes(), type=dict[str, Any])
+    asked = Asked(sizes=sizes or (80, 1000, 4000, 7000, 15_000), operator=operator, **given)
     with tempfile.TemporaryDirectory(prefix="whintrail-scale-") as folder:
-        sizes = sizes or (80, 1000, 4000, 7000, 15_000)
-        taken = asyncio.run(measure(Path(folder), sizes, gateways, rate, phase_seconds, (memory_mb, seconds)))
+        taken = asyncio.run(measure(Path(folder), asked, memory_mb, seconds))
     if to is not None:
         command = "python -m whintrail.scale.real " + shlex.join(sys.argv[1:])
         note = "hollow: engines and bulletin; their processes share the machine's cores with the gateways"
