--- a/whintrail/scale/real.py
+++ b/whintrail/scale/real.py
@@ -275,8 +275,8 @@
     subset: int
 
 
-async def measure(folder: Path, asked: Asked, memory_mb: float, seconds: float) -> list[Sample]:
-    """Size by size; where a bound is passed, what was taken until then."""
+async def measure(folder: Path, asked: Asked, memory_mb: float, seconds: float) -> tuple[list[Sample], str]:
+    """Size by size; where a bound is passed, what was taken until then, and the line that tells it."""
     taken: list[Sample] = []
     ends = time.monotonic() + seconds
     for count in asked.sizes:
@@ -296,11 +296,10 @@
             try:
                 await group.within(work())
             except BoundError as error:
-                click.echo(f"ended at {count} engines: {error}", err=True)
-                break
+                return taken, f"ended at {count} engines: {error}"
             finally:
                 taken.extend(one.taken)
-    return taken
+    return taken, ""
 
 
 def bound_option(name: str, default: float, text: str) -> Callable[[Command], Command]:
@@ -333,11 +332,13 @@
     operator = None if file is None else msgspec.json.decode(file.read_bytes(), type=dict[str, Any])
     asked = Asked(sizes=sizes or (80, 1000, 4000, 7000, 15_000), operator=operator, **given)
     with tempfile.TemporaryDirectory(prefix="whintrail-scale-") as folder:
-        taken = asyncio.run(measure(Path(folder), asked, memory_mb, seconds))
+        taken, ended = asyncio.run(measure(Path(folder), asked, memory_mb, seconds))
     if to is not None:
         command = "python -m whintrail.scale.real " + shlex.join(sys.argv[1:])
         note = "hollow: engines and bulletin; their processes share the machine's cores with the gateways"
-        save(to, command, began, machine, taken, note)
+        save(to, command, began, machine, taken, f"{note}; {ended}" if ended else note)
+    if ended:
+        raise click.ClickException(ended)
 
 
 if __name__ == "__main__":
