Test that a whole list over the line's bound is refused by a real gateway, and so measured

Need: the servers must not hide what a gateway does with a list that it can't take. Change: a test with a line of 1.1 MB after two of half of it.

--- a/tests/test_scale_servers.py
+++ b/tests/test_scale_servers.py
@@ -79,6 +79,30 @@
     asyncio.run(run())
 
 
+def test_a_whole_list_over_the_line_bound_is_refused_and_asked_for_again(tmp_path: Path) -> None:
+    """What a gateway of today does with it: a thing to be measured, which the servers must not hide."""
+
+    async def run() -> None:
+        async with Group(tmp_path, 2000, 60) as group:
+            site = Site(group, 40, 1, sockets=256)
+            await site.start()
+            name = "s-" + "x" * 100
+            entries = [{**engines.entry(n, 1, state="left"), "instanceId": f"{name}{n}"} for n in range(4600)]
+            for first in (0, 2300):  # each under the bound
+                assert await site.publish("change", PATIENCE_S, entries=entries[first : first + 2300])
+            await site.bulletin.ask("change", entries=entries)
+            await until(lambda: asked_again(site))
+            assert "a line without end" in site.gateways[0].log.read_text()
+            site.gateways[0].signal(signal.SIGUSR1)
+            await until(lambda: "events=3" in site.gateways[0].log.read_text())  # and never the fourth
+            assert "events=4" not in site.gateways[0].log.read_text()
+
+    async def asked_again(site: Site) -> bool:
+        return bool((await site.bulletin.ask("state"))["asked"] >= 4)
+
+    asyncio.run(run())
+
+
 # --- Engines by themselves.
 
 
