--- /dev/null
+++ b/whintrail/scale/auditor.py
@@ -0,0 +1,186 @@
+"""Judges a scale run from outside: by what the run did itself, and what each gateway told over its own
+channel about itself. It reads nothing of what a gateway believes of the others but whom it takes for gone.
+
+Pure; times are microseconds of the machine's monotonic clock.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+FOREVER = 1 << 62
+NOTICE_US = 150_000  # a gateway tells of a lease that ran out with its next turn
+
+
+@dataclass(slots=True)
+class Span:
+    """Something that held from `start` on, until `end`."""
+
+    start: int
+    end: int
+    what: str = ""
+
+
+@dataclass(slots=True)
+class Auditor:
+    """`stated_us`: no two that hold leases may act by different rules for longer."""
+
+    gateways: int
+    stated_us: int
+    published: dict[int, tuple[int, int | None]] = field(default_factory=dict)  # generation: when, digest
+    lives: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))
+    rules: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # while leased
+    lists: dict[int, dict[int, int]] = field(default_factory=lambda: defaultdict(dict))  # generation: when
+    leaders: list[tuple[int, int, bool]] = field(default_factory=list)  # when, who, whether it leads now
+    gone: dict[int, tuple[int, tuple[int, ...]]] = field(default_factory=dict)  # who told: when, of whom
+    stopped: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))
+    newest: dict[int, int] = field(default_factory=dict)  # the newest version by which one acted
+    breaches: list[str] = field(default_factory=list)
+
+    # --- What the run did.
+
+    def publish(self, generation: int, at: int, digest: int | None = None) -> None:
+        self.published[generation] = at, digest
+
+    def went_down(self, number: int, at: int) -> None:
+        """Killed: it tells nothing any more."""
+        for spans in (self.lives[number], self.rules[number]):
+            if spans and spans[-1].end == FOREVER:
+                spans[-1].end = at
+
+    def stop(self, number: int, at: int) -> None:
+        self.stopped[number].append(Span(at, FOREVER))
+
+    def go_on(self, number: int, at: int) -> None:
+        self.stopped[number][-1].end = at
+
+    # --- What a gateway told of itself.
+
+    def told(self, kind: str, number: int, at: int, *more: object) -> None:
+        match kind, more:
+            case "up", _:
+                self.went_down(number, at)
+                self.lives[number].append(Span(at, FOREVER))
+                self.lists[number] = {}
+                self.newest[number] = 0
+            case "down", _:
+                self.went_down(number, at)
+            case "rule", (str(name), bool(leased)):
+                self._rule(number, at, name, leased)
+            case "list", (int(generation), *_):
+                self.lists[number].setdefault(generation, at)
+            case "leads", (bool(leads),):
+                self.leaders.append((at, number, leads))
+            case "gone", (list(whom),):
+                self.gone[number] = at, tuple(whom)
+            case _:
+                self.breaches.append(f"n{number} told what means nothing: {kind} {more}")
+
+    def _rule(self, number: int, at: int, name: str, leased: bool) -> None:
+        spans = self.rules[number]
+        if spans and spans[-1].end == FOREVER:
+            spans[-1].end = at
+        if not leased:
+            return
+        version = int(name.split(">")[0])
+        if version < self.newest.get(number, 0):
+            newest = self.newest[number]
+            self.breaches.append(f"n{number} went back from version {newest} to {version}, leased")
+        self.newest[number] = max(version, self.newest.get(number, 0))
+        spans.append(Span(at, FOREVER, name))
+
+    # --- Questions.
+
+    def up(self, at: int) -> list[int]:
+        return [n for n, spans in self.lives.items() if any(s.start <= at < s.end for s in spans)]
+
+    def missing(self, name: str, at: int) -> list[int]:
+        """Gateways that are up and don't act by the rule `name` under a lease at that time."""
+        return [
+            n for n in self.up(at) if not any(s.start <= at < s.end and s.what == name for s in self.rules[n])
+        ]
+
+    def in_force(self, name: str, since: int) -> dict[int, int]:
+        """When each gateway first acted by the rule `name`, microseconds after `since`."""
+        found = {}
+        for number, spans in self.rules.items():
+            if starts := [s.start for s in spans if s.what == name and s.start >= since]:
+                found[number] = min(starts) - since
+        return found
+
+    def list_delays(self) -> list[int]:
+        """From each publishing until each gateway that was up then had handed it to its module."""
+        return [
+            self.lists[number][generation] - at
+            for generation, (at, _) in self.published.items()
+            for number, spans in self.lives.items()
+            if generation in self.lists[number] and any(s.start <= at < s.end for s in spans)
+        ]
+
+    # --- Verdicts.
+
+    def check_lists(self, now: int, patience_us: int) -> None:
+        """Nothing lost: what was published reached everybody who was up then and still is, one by one."""
+        for generation, (at, _) in sorted(self.published.items()):
+            if at > now - patience_us:
+                continue
+            for number, spans in sorted(self.lives.items()):
+                if spans and spans[-1].start <= at and spans[-1].end > now:
+                    if generation not in self.lists[number]:
+                        self.breaches.append(f"n{number} never had generation {generation} of the list")
+
+    def check_digests(self, told: Iterable[tuple[int, int, int]]) -> None:
+        """What each gateway, at a generation, takes for ready is what the list of that generation says."""
+        for number, generation, digest in told:
+            _, expected = self.published.get(generation, (0, None))
+            if expected is not None and digest != expected:
+                self.breaches.append(f"n{number} holds another list under generation {generation}")
+
+    def check_alive(self, told: Mapping[int, Iterable[int]], now: int) -> None:
+        """Whom each takes for gone, once there was time to learn of all that happened."""
+        up = set(self.up(now))
+        down = set(range(self.gateways)) - up
+        for number, gone in sorted(told.items()):
+            if number not in up:
+                continue
+            if wrongly := sorted(set(gone) & up):
+                self.breaches.append(f"n{number} takes n{wrongly[0]} for gone, which is up ({len(wrongly)})")
+            if missed := sorted(down - set(gone)):
+                self.breaches.append(f"n{number} takes n{missed[0]} for alive, which is down ({len(missed)})")
+
+    def check_rules(self, now: int, slack_us: int = NOTICE_US) -> None:
+        """No two leased gateways act by different rules for longer than stated.
+
+        Spans shortened by that time at their end overlap just where two gateways broke this.
+        """
+        most = self.stated_us + slack_us
+        turns: list[tuple[int, int, str, int]] = []
+        for number, spans in self.rules.items():
+            for span in spans:
+                for start, end in self._without_stops(number, span, now):
+                    if end - most > start:
+                        turns += [(start, 1, span.what, number), (end - most, -1, span.what, number)]
+        by: dict[str, set[int]] = defaultdict(set)
+        told: set[tuple[str, ...]] = set()
+        for at, sign, name, number in sorted(turns):  # at one time ends come first
+            if sign < 0:
+                by[name].discard(number)
+                if not by[name]:
+                    del by[name]
+                continue
+            by[name].add(number)
+            names = tuple(sorted(by))
+            if len(names) > 1 and names not in told:
+                told.add(names)
+                who = ", ".join(f"n{min(by[each])} by {each}" for each in names)
+                self.breaches.append(f"leased and apart for over {most / 1e6:.2f} s: {who} at {at}")
+
+    def _without_stops(self, number: int, span: Span, now: int) -> list[tuple[int, int]]:
+        """A process that stands still decides nothing."""
+        start, end = span.start, min(span.end, now)
+        parts = []
+        for stop in self.stopped.get(number, ()):
+            if stop.start < end and stop.end > start:
+                parts.append((start, stop.start))
+                start = min(stop.end, end)
+        return [*parts, (start, end)]
--- /dev/null
+++ b/whintrail/scale/days.py
@@ -0,0 +1,270 @@
+"""The days of a scale run: each a small plan of timed acts, what is measured of it, and the audit after."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from msgspec.structs import replace
+
+from whintrail.scale.measure import Delays
+from whintrail.scale.plan import Day
+from whintrail.scale.results import Kind, Sample, sample
+from whintrail.scale.rig import Rig, SizeError, now_us
+
+CORES = {
+    "node_share": ("node_tick", "node_take", "node_flush"),
+    "memo_share": ("module_memo",),
+    "list_share": ("module_list",),
+    "sweep_share": ("module_sweep",),
+    "query_share": ("module_query",),
+    "send_share": ("send",),
+}
+RATES = {
+    "datagrams_out_per_s": ("datagrams/s", ("datagrams_out",)),
+    "datagrams_in_per_s": ("datagrams/s", ("fleet_in", "memos_in")),
+    "memo_datagrams_per_s": ("datagrams/s", ("memos_in",)),
+    "bytes_out_per_s": ("bytes/s", ("bytes_out",)),
+    "bytes_in_per_s": ("bytes/s", ("bytes_in",)),
+    "probes_per_s": ("count", ("probes",)),
+}
+
+
+class Days:
+    def __init__(self, rig: Rig, say: Callable[..., None]) -> None:
+        self.rig, self.say, self.size = rig, say, rig.size
+        self.samples: list[Sample] = []
+        self.caps = 1000
+
+    def take(self, day: Day, quantity: str, unit: str, values: list[float], **more: Any) -> None:
+        if not values:
+            return
+        kind: Kind = "hollow"
+        one = sample(quantity, unit, (self.size.gateways, self.size.engines), values, kind)
+        self.samples.append(replace(one, day=day.act, subset=self.size.subset, **more))
+
+    async def play(self, day: Day) -> None:
+        before_breaches = len(self.rig.auditor.breaches)
+        before, began = await self.rig.tell(), time.monotonic()
+        await getattr(self, f"_{day.act}")(day)
+        after, took = await self.rig.tell(), time.monotonic() - began
+        self._costs(day, before, after)
+        await self.rig.audit(3.0)
+        breaches = self.rig.auditor.breaches[before_breaches:]
+        note = "; ".join(breaches[:3])
+        self.take(day, "breaches", "count", [float(len(breaches))], role="fleet", note=note[:300])
+        self.say("day", day=day.act, took_s=round(took, 1), breaches=len(breaches), first=note[:200])
+
+    # --- What it cost.
+
+    def _costs(self, day: Day, before: dict[str, Any], after: dict[str, Any]) -> None:
+        """Of processes and gateways that were there before and after, by role."""
+        by_role: dict[str, dict[str, list[float]]] = {}
+        out = heard = 0
+        for name in before.keys() & after.keys():
+            old, new = before[name], after[name]
+            seconds, there = (new["at_us"] - old["at_us"]) / 1e6, len(new["gateways"])
+            if there == 0 or new["cpu_s"] < old["cpu_s"]:
+                continue
+            then = {row["birth"]: row for row in old["gateways"]}
+            leads = any(row["leads"] for row in new["gateways"])
+            role = "leader" if leads else "gateway"
+            apart = "council member, in its own process" if name.startswith("control") else ""
+            role = "council" if apart and not leads else role
+            here = by_role.setdefault(role, {})
+
+            def put(quantity: str, value: float, here: dict[str, list[float]] = here) -> None:
+                here.setdefault(quantity, []).append(value)
+
+            put("control_cpu_share share", (new["cpu_s"] - old["cpu_s"]) / seconds / there)
+            put("read_share share", (new["read_ns"] - old["read_ns"]) / 1e9 / seconds)
+            put("rss_bytes bytes", new["rss_bytes"] / there)
+            put("descriptors count", new["descriptors"] / there)
+            put("loop_stall_ms ms", new["longest_stall_s"] * 1e3)
+            for row in new["gateways"]:
+                if (first := then.get(row["birth"])) is None:
+                    continue
+                for quantity, names in CORES.items():
+                    spent = sum(row["spent_ns"].get(n, 0) - first["spent_ns"].get(n, 0) for n in names)
+                    put(f"{quantity} share", spent / 1e9 / seconds)
+                for quantity, (unit, names) in RATES.items():
+                    count = sum(row["calls"].get(n, 0) - first["calls"].get(n, 0) for n in names)
+                    put(f"{quantity} {unit}", count / seconds)
+                    out += count * (quantity == "datagrams_out_per_s")
+                    heard += count * (quantity == "datagrams_in_per_s")
+                held = row["counts"].get("held_back", 0) - first["counts"].get("held_back", 0)
+                put("held_back_per_s datagrams/s", held / seconds)
+                put("faults count", row["counts"]["faults"] - first["counts"]["faults"])
+        for role, quantities in by_role.items():
+            for quantity, values in quantities.items():
+                name, unit = quantity.split()
+                self.take(day, name, unit, values, role=role)
+        if out:
+            self.take(day, "lost_share", "share", [1 - heard / out], role="fleet", note="sent, not taken in")
+
+    def _delays(self, day: Day) -> None:
+        delays = Delays()
+        for delay in self.rig.auditor.list_delays():
+            delays.add(delay / 1e6)
+        if len(delays):
+            sizes = (self.size.gateways, self.size.engines)
+            one = delays.sample("list_apply_s", "s", sizes, "hollow", note="since the run began")
+            self.samples.append(replace(one, day=day.act, subset=self.size.subset))
+
+    # --- Acts.
+
+    async def _steady(self, day: Day) -> None:
+        await self.rig.rest(day.seconds)
+
+    async def _version(self, patience_s: float) -> tuple[float, str]:
+        """One version proposed, until all act by it: seconds, or why not."""
+        auditor = self.rig.auditor
+        since = now_us()
+        self.caps += 1
+        word, name = await self.rig.propose(self.caps)
+        if word != "done":
+            return 0.0, word
+        if not await self.rig.until(lambda: not auditor.missing(name, now_us()), patience_s):
+            return 0.0, f"not in force on {len(auditor.missing(name, now_us()))} after {patience_s:.0f} s"
+        return max(auditor.in_force(name, since).values()) / 1e6, ""
+
+    async def _changes(self, day: Day) -> None:
+        end = time.monotonic() + day.seconds
+
+        async def lists() -> None:
+            due = time.monotonic()
+            while due < end:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                await self.rig.change_list()
+                due += 1 / day.rate
+
+        changing = asyncio.get_running_loop().create_task(lists())
+        took: list[float] = []
+        failed: list[str] = []
+        try:
+            while time.monotonic() < end:
+                seconds, why = await self._version(30.0)
+                if why:
+                    failed.append(why)
+                    await self.rig.rest(0.5)
+                else:
+                    took.append(seconds)
+            await changing
+        finally:
+            changing.cancel()
+            await asyncio.gather(changing, return_exceptions=True)
+        await self.rig.rest(0.5)
+        self._delays(day)
+        self.take(day, "version_in_force_s", "s", took, note="one after another")
+        note = "; ".join(failed[:2])[:200]
+        self.take(day, "versions_failed", "count", [float(len(failed))], role="fleet", note=note)
+
+    async def _restarts(self, day: Day) -> None:
+        """One after another, each by a slot that it asks for."""
+        slots: list[float] = []
+        failed = 0
+        chosen = self.rig.random.sample(list(self.size.hollow), min(day.count, len(self.size.hollow)))
+        for number in chosen:
+            began = time.monotonic()
+            asked = self.rig.host_of(number).ask("restart", number=number, wait_s=day.seconds)
+            if await asked == "done":
+                slots.append(time.monotonic() - began)
+            else:
+                failed += 1
+            await self.rig.gather()
+        await self.rig.joined(self.size.join_s)
+        self.take(day, "slot_s", "s", slots, note="asked until started anew, one at a time")
+        self.take(day, "slots_failed", "count", [float(failed)], role="fleet")
+
+    async def _machines(self, day: Day) -> None:
+        await self._lose(day, self.rig.random.sample(list(self.size.hollow), day.count))
+
+    async def _zone(self, day: Day) -> None:
+        last = self.size.zone_of(self.size.hollow[-1])
+        await self._lose(day, [n for n in self.size.hollow if self.size.zone_of(n) == last])
+
+    async def _lose(self, day: Day, numbers: list[int]) -> None:
+        """Killed at once; until all know, and until all are back and known."""
+        rig, auditor = self.rig, self.rig.auditor
+        at = now_us()
+        await rig.kill(numbers)
+        await rig.ask("watch", numbers=numbers)
+        auditor.gone.clear()
+        everybody = set(auditor.up(now_us()))
+        known = await rig.until(lambda: everybody <= auditor.gone.keys(), day.seconds)
+        times = sorted((when - at) / 1e6 for when, _ in auditor.gone.values())
+        note = f"{len(numbers)} at once; {len(times)} of {len(everybody)} came to know"
+        if times:
+            self.take(day, "removal_known_s", "s", times, note=note)
+        if known:
+            await rig.audit(3.0)  # with those down
+        began = time.monotonic()
+        await rig.revive(numbers)
+        await rig.joined(self.size.join_s)
+        self.take(day, "rejoined_s", "s", [time.monotonic() - began], role="fleet", note=note)
+
+    async def _regions(self, day: Day) -> None:
+        """Two parts of the hollow ones apart, while both hear the control machines and the rest."""
+        hollow = list(self.size.hollow)
+        one, other = hollow[: len(hollow) // 3], hollow[len(hollow) // 3 : 2 * len(hollow) // 3]
+        await self.rig.ask("cut", numbers=one, others=other)
+        await self.rig.ask("cut", numbers=other, others=one)
+        await self._changes(replace(day, rate=0.74))
+        rows = await self.rig.rows()
+        wrongly = [float(len(row["gone"])) for row in rows]
+        self.take(day, "taken_for_gone", "count", wrongly, note="while apart; all are up")
+        await self.rig.ask("cut", numbers=hollow, others=[])
+        began = time.monotonic()
+        await self.rig.joined(self.size.join_s)
+        self.take(day, "rejoined_s", "s", [time.monotonic() - began], role="fleet")
+
+    async def _control(self, day: Day) -> None:
+        """The leader killed, and once all have another, that one stopped for a while."""
+        rig, auditor = self.rig, self.rig.auditor
+        leader = await rig.leader()
+        name, at = f"control{leader}", now_us()
+        await rig.hosts[name].kill()
+        auditor.went_down(leader, at)
+        await self._led_anew(day, at, "killed")
+        began = time.monotonic()
+        await rig.start_host(name, [leader])
+        await rig.joined(self.size.join_s)
+        self.take(day, "rejoined_s", "s", [time.monotonic() - began], role="leader", note="started anew")
+        leader = await rig.leader()
+        child, at = rig.hosts[f"control{leader}"], now_us()
+        rig.stands.add(child.pid)
+        child.signal(signal.SIGSTOP)
+        auditor.stop(leader, at)
+        try:
+            await self._led_anew(day, at, "stopped")
+            await rig.rest(max(0.0, day.seconds - (now_us() - at) / 1e6))
+        finally:
+            auditor.go_on(leader, now_us())
+            child.signal(signal.SIGCONT)
+            rig.stands.discard(child.pid)
+        await rig.joined(self.size.join_s)
+
+    async def _led_anew(self, day: Day, at: int, how: str) -> None:
+        auditor = self.rig.auditor
+
+        def led() -> bool:
+            return any(leads and when > at for when, _, leads in auditor.leaders)
+
+        if not await self.rig.until(led, 30.0):
+            raise SizeError(f"{self.size.name}: nobody leads 30 s after the leader was {how}")
+        when = min(when for when, _, leads in auditor.leaders if leads and when > at)
+        self.take(day, "led_anew_s", "s", [(when - at) / 1e6], role="fleet", note=f"leader {how}")
+
+        def leased() -> bool:
+            now = now_us()
+            stopped = {n for n, spans in auditor.stopped.items() if spans[-1].end > now}
+            held = {n for n, spans in auditor.rules.items() if spans and spans[-1].end > now}
+            renewed = all(n in held for n in auditor.up(now) if n not in stopped)
+            return renewed and now - when > auditor.stated_us
+
+        began = now_us()
+        if await self.rig.until(leased, 30.0):
+            self.take(day, "leases_anew_s", "s", [(now_us() - at) / 1e6], role="fleet", note=f"leader {how}")
+        else:
+            self.say("leases are not back", after_s=(now_us() - began) / 1e6)
--- /dev/null
+++ b/whintrail/scale/host.py
@@ -0,0 +1,168 @@
+"""A process of hollow gateways, for `control.serve`: started, asked and steered over its control channel."""
+
+import asyncio
+import gc
+import os
+import resource
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from whintrail.config import Fleet as FleetSettings
+from whintrail.gateway.bulletin import Bulletin
+from whintrail.gateway.clock import Clock
+from whintrail.gateway.connection import address
+from whintrail.gateway.counters import Counters
+from whintrail.gateway.fleet import monotonic_us
+from whintrail.gateway.limits import Limits
+from whintrail.gateway.log import Log
+from whintrail.scale.control import Handler, serve
+from whintrail.scale.hollow import Common, Event, HollowGateway, Meter, Reading
+from whintrail.scale.measure import StallWatch
+
+LEAVE_S = 0.1  # what a gateway that ends says goes out
+
+
+class HostGiven(Struct, frozen=True, kw_only=True):
+    numbers: list[int]  # of its gateways
+    addresses: list[str]  # of all of the fleet
+    zones: list[str]  # of each of the fleet
+    config: dict[str, Any]  # of a gateway, without its number, zone and address
+    fleet: FleetSettings
+    queries_per_s: float
+    memos: bool
+    sockets: str = ""
+    spread_s: float = 1.0  # its gateways start one after another over so long
+
+
+class Host:
+    def __init__(self, given: HostGiven) -> None:
+        self.given = given
+        self.loop = asyncio.get_running_loop()
+        self.gateways: dict[int, HollowGateway] = {}
+        self.happened: list[Event] = []
+        self.meter = Meter()
+        self.stalls = StallWatch(every_s=0.02)  # more often, it would itself be what is measured
+        self.reading = Reading(Clock(), self.gateways)
+        self.log = Log("hollow", 5.0, 1.0)
+        limits = Limits.read(given.config)
+        # The reader puts into `Reading` as it would into an owner's inbox.
+        self.bulletin = Bulletin(given.config, limits, self.reading, Counters(), self.log)  # type: ignore[arg-type]
+        setattr(self.bulletin, "take_line", self.meter.timed("read", self.bulletin.take_line))  # noqa: B010
+        where = [address(text) for text in given.addresses]
+        self.common = Common(
+            config=given.config,
+            fleet=given.fleet,
+            addresses=where,
+            numbers={place: number for number, place in enumerate(where)},
+            zones=tuple(dict.fromkeys(given.zones)),
+            zone_of=given.zones.__getitem__,
+            queries_per_s=given.queries_per_s,
+            memos=given.memos,
+            log=self.log,
+            reading=self.reading,
+            spoke=lambda: self.bulletin.spoke_us,
+            tells=self.tells,
+            sockets=given.sockets,
+        )
+
+    def tells(self, kind: str, number: int, *more: Any) -> None:
+        self.happened.append((kind, number, monotonic_us(), *more))
+
+    async def begin(self) -> None:
+        self.follows = self.loop.create_task(self.bulletin.run())
+        while not self.reading.entries:
+            await asyncio.sleep(0.005)
+        await self._start(self.given.numbers, self.given.spread_s)
+        gc.collect()
+        gc.freeze()
+
+    async def _start(self, numbers: list[int], spread_s: float) -> None:
+        for number in numbers:
+            gateway = HollowGateway(self.common, number)
+            gateway.start()
+            self.gateways[number] = gateway
+            await asyncio.sleep(spread_s / len(numbers))
+
+    async def _kill(self, numbers: list[int]) -> list[int]:
+        gone = [gateway for number in numbers if (gateway := self.gateways.pop(number, None)) is not None]
+        await asyncio.gather(*(gateway.kill() for gateway in gone))
+        return [gateway.number for gateway in gone]
+
+    # --- What may be asked; numbers that are not here are left out.
+
+    async def revive(self, fields: Mapping[str, Any]) -> list[int]:
+        """Gateways from nothing, under their old addresses."""
+        wanted = [n for n in fields["numbers"] if n in self.given.numbers and n not in self.gateways]
+        await self._start(wanted, 0.0)
+        return wanted
+
+    async def kill(self, fields: Mapping[str, Any]) -> list[int]:
+        return await self._kill(fields["numbers"])
+
+    async def restart(self, fields: Mapping[str, Any]) -> str:
+        """One by its slot, within `wait_s`: how it ended."""
+        number = int(fields["number"])
+        if not await self.gateways[number].restart_by_slot(float(fields["wait_s"])):
+            return "no slot"
+        await asyncio.sleep(LEAVE_S)
+        await self._kill([number])
+        await self._start([number], 0.0)
+        return "done"
+
+    def cut(self, fields: Mapping[str, Any]) -> None:
+        """Between `numbers` and `others` nothing passes from now on; `others` empty: all does."""
+        for number in fields["numbers"]:
+            if number in self.gateways:
+                self.gateways[number].peers.cut = frozenset(fields["others"])
+
+    def watch(self, fields: Mapping[str, Any]) -> None:
+        """Tell when a gateway takes all of `numbers` for gone."""
+        for gateway in self.gateways.values():
+            gateway.part.watched = frozenset(fields["numbers"])
+
+    def engines_down(self, fields: Mapping[str, Any]) -> None:
+        for gateway in self.gateways.values():
+            gateway.engines.down = frozenset(fields["engines"])
+
+    def events(self, _: Mapping[str, Any]) -> list[Event]:
+        """What happened since the last call."""
+        happened, self.happened = self.happened, []
+        return happened
+
+    def digests(self, _: Mapping[str, Any]) -> list[tuple[int, int, int]]:
+        return [gateway.digest() for gateway in self.gateways.values()]
+
+    def tell(self, _: Mapping[str, Any]) -> dict[str, Any]:
+        """Counts since the start; stalls since the last call."""
+        with open("/proc/self/statm", encoding="ascii") as file:
+            rss = int(file.read().split()[1]) * resource.getpagesize()
+        longest_s, stalls = self.stalls.take()
+        return {
+            "at_us": monotonic_us(),
+            "cpu_s": time.process_time(),
+            "rss_bytes": rss,
+            "descriptors": len(os.listdir("/proc/self/fd")),
+            "longest_stall_s": longest_s,
+            "stalls": stalls,
+            "read_ns": self.meter.spent["read"],
+            "gateways": [gateway.tell() for gateway in self.gateways.values()],
+        }
+
+    def handlers(self) -> dict[str, Handler]:
+        names = ("revive", "kill", "restart", "cut", "watch", "engines_down", "events", "digests", "tell")
+        return {name: getattr(self, name) for name in names}
+
+
+async def start(config: dict[str, Any]) -> tuple[Any, Mapping[str, Handler]]:
+    """`HostGiven`; answers once all gateways of it run."""
+    host = Host(msgspec.convert(config, HostGiven))
+    await host.begin()
+    return {"gateways": len(host.gateways)}, host.handlers()
+
+
+if __name__ == "__main__":
+    serve(start)
--- /dev/null
+++ b/whintrail/scale/plan.py
@@ -0,0 +1,79 @@
+"""One size to be played, or several: Jsonnet, checked into records with bounds, as the operator's file is."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+import rjsonnet
+from msgspec import Meta, Struct
+
+Seconds = Annotated[float, Meta(ge=0.5, le=3600.0)]
+Word = Annotated[str, Meta(pattern=r"^[a-z0-9-]{1,40}$")]
+Act = Literal["steady", "changes", "restarts", "machines", "zone", "regions", "control"]
+
+
+class PlanError(ValueError):
+    """The file can't be used. The text is one line."""
+
+
+class Day(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """`steady`: no act. `changes`: the list changes `rate` times a second, versions one after another.
+    `restarts`: `count` gateways by their slots. `machines`: `count` gateways killed at once. `zone`: a whole
+    one killed. `regions`: two halves of what is no control machine apart, and back. `control`: the leader's
+    process killed, another of the council's stopped with SIGSTOP."""
+
+    act: Act
+    seconds: Seconds = 10.0
+    rate: Annotated[float, Meta(gt=0.0, le=200.0)] = 0.74  # 64,000 a day
+    count: Annotated[int, Meta(ge=1, le=1000)] = 4
+
+
+class Size(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What is played; docs/CAPACITY.md says what hollow leaves out."""
+
+    name: Word
+    gateways: Annotated[int, Meta(ge=3, le=4000)]  # in all; the first are the council, the last are real
+    engines: Annotated[int, Meta(ge=1, le=15_000)]
+    real: Annotated[int, Meta(ge=0, le=20)] = 0
+    processes: Annotated[int, Meta(ge=1, le=64)] = 2  # of hollow gateways, besides the council's
+    council: Literal[1, 3, 5, 7] = 3  # members, each in its own process
+    zones: Annotated[int, Meta(ge=1, le=64)] = 1
+    queries_per_s: Annotated[float, Meta(ge=0.0, le=100.0)] = 2.0  # of a hollow gateway; they pay for probes
+    memos: bool = True  # gateways tell one another of engines
+    subset: Annotated[int, Meta(ge=0, le=15_000)] = 0  # engines that each gateway keeps; 0: all
+    lease_s: Annotated[float, Meta(ge=0.3, le=60.0)] = 1.2
+    check_s: Annotated[float, Meta(ge=1.0, le=600.0)] = 10.0
+    messages_per_s: Annotated[float, Meta(ge=50.0, le=100_000.0)] = 400.0  # of the fleet's, a gateway at most
+    bytes_per_s: Annotated[float, Meta(ge=5_000.0, le=1e9)] = 40_000.0
+    join_s: Seconds = 60.0  # until all know all, at most
+    days: Annotated[tuple[Day, ...], Meta(min_length=1, max_length=20)] = (Day(act="steady"),)
+
+    def zone_of(self, number: int) -> str:
+        return f"z{number * self.zones // self.gateways + 1}"
+
+    @property
+    def hollow(self) -> range:
+        """Those that are not of the council, nor real."""
+        return range(self.council, self.gateways - self.real)
+
+
+class Sweep(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    version: Literal[1] = 1
+    sizes: Annotated[tuple[Size, ...], Meta(min_length=1, max_length=40)]
+
+
+def read_sweep(path: Path) -> Sweep:
+    """The sizes of a file. Errors: PlanError with the file, the place and the reason."""
+    try:
+        data = rjsonnet.evaluate_snippet(str(path), path.read_text(encoding="utf-8"))
+    except Exception as error:  # the binding raises its own kinds, and RuntimeError
+        raise PlanError(f"{path}: {' '.join(str(error).split())}") from error
+    try:
+        found: Sweep = msgspec.json.decode(data, type=Sweep)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at ")
+        raise PlanError(f"{path}: {place.strip('`') or '$'}: {reason}") from error
+    for size in found.sizes:
+        if size.gateways < size.council + size.real:
+            raise PlanError(f"{path}: {size.name}: {size.gateways} gateways, less than council and real ones")
+    return found
--- /dev/null
+++ b/whintrail/scale/rig.py
@@ -0,0 +1,225 @@
+"""One size as processes: the bulletin, the council's gateways each in its own, the hollow ones many to a
+process, and real ones by `run`'s own way; and what the auditor is told of them."""
+
+import asyncio
+import os
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from whintrail.config import Fleet
+from whintrail.config.records import Versions
+from whintrail.control.lines import ask_lines
+from whintrail.scale import bulletin as bulletins
+from whintrail.scale import engines
+from whintrail.scale.auditor import Auditor
+from whintrail.scale.hollow import digest_of
+from whintrail.scale.plan import Size
+from whintrail.scale.procs import Child, Group
+from whintrail.standins.scripted import settings
+
+BEAT_S = 0.1  # how often is asked what happened
+NO_ENGINE_PORT = 5433  # in the list, where nobody listens and no gateway has links
+
+
+class SizeError(RuntimeError):
+    """The size could not be played: one line."""
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Rig:
+    def __init__(self, size: Size, group: Group, say: Callable[..., None]) -> None:
+        self.size, self.group, self.say = size, group, say
+        self.random = random.Random(size.name)
+        # Out of each other's way, where several run on one machine.
+        self.net, self.port = 128 + os.getpid() % 64, 20_000 + os.getpid() % 10_000
+        versions = Versions(lease_s=size.lease_s, check_s=size.check_s)
+        self.fleet = Fleet(
+            name=size.name,
+            council=tuple(range(size.council)),
+            use_within_s=1.5,
+            messages_per_s=size.messages_per_s,
+            bytes_per_s=size.bytes_per_s,
+            versions=versions,
+        )
+        self.auditor = Auditor(size.gateways, int(size.lease_s * 1e6) + 150_000)
+        self.hosts: dict[str, Child] = {}
+        self.numbers: dict[str, list[int]] = {}  # of the gateways in each process
+        self.bulletin: Child
+        self.entries: list[dict[str, Any]] = []
+        self.stands: set[int] = set()  # processes that are stopped: nothing is asked of them
+
+    # --- Starting.
+
+    def address(self, number: int) -> str:
+        place = number + 1
+        return f"127.{self.net}.{place >> 8}.{place & 255}:{self.port}"
+
+    def config(self, where: str) -> dict[str, Any]:
+        size = self.size
+        zones = list(dict.fromkeys(size.zone_of(n) for n in range(size.gateways)))
+        given = settings(MayTell=True)
+        return {
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "bulletin": where,
+            "settings": {**given, "FleetSize": size.gateways, "Zones": zones},
+        }
+
+    async def start(self) -> None:
+        size = self.size
+        self.entries = [engines.entry(n, NO_ENGINE_PORT, size.zones) for n in range(size.engines)]
+        given = {"entries": self.entries}
+        self.bulletin, told = await self.group.start("bulletin", "bulletin", bulletins.__name__, given)
+        self.config_of_all = self.config(told["where"])
+        places = {f"control{n}": [n] for n in range(size.council)}
+        share = -(-len(size.hollow) // size.processes)
+        for number in range(size.processes):
+            if some := list(size.hollow)[number * share : (number + 1) * share]:
+                places[f"hollow{number}"] = some
+        await asyncio.gather(*(self.start_host(name, numbers) for name, numbers in places.items()))
+        self.auditor.publish(1, now_us(), self.digest())
+
+    async def start_host(self, name: str, numbers: list[int]) -> None:
+        size = self.size
+        given = {
+            "numbers": numbers,
+            "addresses": [self.address(n) for n in range(size.gateways)],
+            "zones": [size.zone_of(n) for n in range(size.gateways)],
+            "config": self.config_of_all,
+            "fleet": msgspec.to_builtins(self.fleet),
+            "queries_per_s": size.queries_per_s,
+            "memos": size.memos,
+            "sockets": str(self.group.folder),
+            "spread_s": 0.01 * len(numbers),
+        }
+        self.numbers[name] = numbers
+        child, _ = await self.group.start(name, "host", "whintrail.scale.host", given)
+        self.hosts[name] = child
+
+    # --- Asking.
+
+    def living(self) -> dict[str, Child]:
+        return {n: c for n, c in self.hosts.items() if c.alive and c.pid not in self.stands}
+
+    async def ask(self, do: str, **fields: Any) -> dict[str, Any]:
+        """Of all processes of gateways that live, by name."""
+        living = self.living()
+        answers = await asyncio.gather(*(child.ask(do, **fields) for child in living.values()))
+        return dict(zip(living, answers, strict=True))
+
+    async def gather(self) -> None:
+        """What happened, to the auditor."""
+        for events in (await self.ask("events")).values():
+            for kind, number, at, *more in events:
+                self.auditor.told(kind, number, at, *more)
+
+    async def until(self, what: Callable[[], bool], seconds: float) -> bool:
+        """Whether it came to hold, by what the gateways told."""
+        end = time.monotonic() + seconds
+        while True:
+            await self.gather()
+            if what():
+                return True
+            if time.monotonic() > end:
+                return False
+            await asyncio.sleep(BEAT_S)
+
+    async def rest(self, seconds: float) -> None:
+        await self.until(lambda: False, seconds)
+
+    async def tell(self) -> dict[str, dict[str, Any]]:
+        return await self.ask("tell")
+
+    async def rows(self) -> list[dict[str, Any]]:
+        return [row for told in (await self.tell()).values() for row in told["gateways"]]
+
+    async def joined(self, seconds: float, but: Iterable[int] = ()) -> float:
+        """Until everybody up knows everybody up and takes one leader for it; seconds it took. SizeError."""
+        began = time.monotonic()
+        down = set(but)
+        while True:
+            rows = await self.rows()
+            await self.gather()
+            wanted = self.size.gateways - len(down) - self.size.real
+            knows = sum(row["alive"] >= self.size.gateways - len(down) for row in rows)
+            leaders = {row["leader"] for row in rows}
+            ready = knows == len(rows) >= wanted and len(leaders) == 1 and None not in leaders
+            if ready and all(row["leased"] for row in rows):
+                return time.monotonic() - began
+            if time.monotonic() - began > seconds:
+                leased = sum(row["leased"] for row in rows)
+                raise SizeError(
+                    f"{self.size.name}: after {seconds:.0f} s {knows} of {wanted} know all,"
+                    f" {leased} hold leases, {len(leaders)} leaders are named"
+                )
+            self.say("joining", know_all=knows, of=wanted, leaders=len(leaders))
+            await asyncio.sleep(0.5)
+
+    async def leader(self) -> int:
+        rows = await self.rows()
+        found = [row["number"] for row in rows if row["leads"]]
+        if len(found) != 1:
+            raise SizeError(f"{self.size.name}: {len(found)} lead")
+        return int(found[0])
+
+    def host_of(self, number: int) -> Child:
+        for name, numbers in self.numbers.items():
+            if number in numbers:
+                return self.hosts[name]
+        raise SizeError(f"n{number} is in no process")
+
+    # --- Acting.
+
+    def digest(self) -> int:
+        return digest_of(e["instanceId"] for e in self.entries if e["lifecycle"] == "active")
+
+    async def change_list(self, state: str | None = None) -> int:
+        """One engine at random leaves, or comes back; the generation. What is published when comes from the
+        bulletin itself."""
+        place = self.random.randrange(len(self.entries))
+        entry = self.entries[place]
+        turned = "leaving" if entry["lifecycle"] == "active" else "active"
+        self.entries[place] = {**entry, "lifecycle": state or turned}
+        number = int(await self.bulletin.ask("change", entries=[self.entries[place]]))
+        at_s = (await self.bulletin.ask("times", after=number - 1))[str(number)]
+        self.auditor.publish(number, int(at_s * 1e6), self.digest())
+        return number
+
+    async def propose(self, caps: int) -> tuple[str, str]:
+        """A version by a control machine's local socket: `done` or why not, and its number."""
+        by = next(n for n in range(self.size.council) if f"control{n}" in self.living())
+        path = str(self.group.folder / f"s{by}")
+
+        def asked() -> tuple[str, str]:
+            row = next(iter(ask_lines(path, {"what": "settings"})))
+            number = str(row["in_force"] + 1)
+            body = {"caps": {"lookup": caps}}
+            request = {"what": "propose", "body": body, "why": "scale", "wait_s": 10.0}
+            row = next(iter(ask_lines(path, request, 20.0)))
+            return row["word"] if row["word"] == "done" else f"{row['word']}: {row['text']}", number
+
+        return await asyncio.to_thread(asked)
+
+    async def kill(self, numbers: list[int]) -> None:
+        await self.ask("kill", numbers=numbers)
+        await self.gather()
+
+    async def revive(self, numbers: list[int]) -> None:
+        await self.ask("revive", numbers=numbers)
+        await self.gather()
+
+    async def audit(self, patience_s: float, alive: bool = True) -> None:
+        await self.gather()
+        now = now_us()
+        self.auditor.check_lists(now, int(patience_s * 1e6))
+        for told in (await self.ask("digests")).values():
+            self.auditor.check_digests(tuple(row) for row in told)
+        if alive:
+            self.auditor.check_alive({row["number"]: row["gone"] for row in await self.rows()}, now)
+        self.auditor.check_rules(now)
--- /dev/null
+++ b/whintrail/scale/run.py
@@ -0,0 +1,135 @@
+"""`whintrail scale run` and `sweep`: sizes played with hollow and real gateways on this machine."""
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+import structlog
+
+from whintrail.scale.days import Days
+from whintrail.scale.plan import PlanError, Size, Sweep, read_sweep
+from whintrail.scale.procs import BoundError, ChildError, Group
+from whintrail.scale.results import Machine, Sample, save, this_machine
+from whintrail.scale.rig import Rig, SizeError
+
+NOTE = (
+    "Hollow gateways run the program's owner, module, peers, bulletin reader and fleet part with real"
+    " datagrams on loopback, many to a process; they have no sessions and no links to engines. Engines are a"
+    " model in the process: a query is answered after 20 ms in the mean, a probe after 1 ms with a load drawn"
+    " anew. A process reads the list once for all its gateways (read_share is that of the process)."
+    " Memos go to each gateway by a datagram of its own. control_cpu_share is a process's time by gateway;"
+    " the shares of cores are measured around their calls by the thread's clock."
+)
+
+
+def log() -> structlog.typing.FilteringBoundLogger:
+    processors: list[structlog.typing.Processor] = [
+        structlog.processors.TimeStamper(fmt="%H:%M:%S", utc=True),
+        structlog.processors.LogfmtRenderer(key_order=["timestamp", "event"]),
+    ]
+    made: structlog.typing.FilteringBoundLogger = structlog.wrap_logger(
+        structlog.PrintLogger(sys.stderr), processors=processors, size=""
+    )
+    return made
+
+
+async def play(size: Size, folder: Path, seconds: float, memory_mb: float) -> tuple[list[Sample], list[str]]:
+    """Its samples and the auditor's breaches. Errors: BoundError, SizeError, ChildError."""
+    said = log().bind(size=size.name)
+    async with Group(folder, memory_mb=memory_mb, seconds=seconds) as group:
+        rig = Rig(size, group, said.info)
+        days = Days(rig, said.info)
+
+        async def whole() -> None:
+            began = time.monotonic()
+            await rig.start()
+            said.info("started", processes=len(group.children), took_s=round(time.monotonic() - began, 1))
+            joined = await rig.joined(size.join_s)
+            days.take(size.days[0], "joined_s", "s", [joined], role="fleet")
+            said.info("joined", took_s=round(joined, 1))
+            for day in size.days:
+                await days.play(day)
+
+        try:
+            await group.within(whole())
+        except (BoundError, SizeError, ChildError, TimeoutError) as error:
+            said.error("ended", why=str(error) or type(error).__name__)
+            return days.samples, [*rig.auditor.breaches, f"not whole: {error}"]
+        return days.samples, rig.auditor.breaches
+
+
+def _play_all(
+    sweep: Sweep, seconds: float, memory_mb: float, to: Path | None, command: str, machine: Machine
+) -> int:
+    samples: list[Sample] = []
+    bad: list[str] = []
+    began = time.time()
+    end = time.monotonic() + seconds
+    for size in sweep.sizes:
+        left = end - time.monotonic()
+        if left <= 1:
+            bad.append(f"{size.name}: not run, no time left")
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                import uvloop
+
+                with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                    found, breaches = runner.run(play(size, Path(folder), left, memory_mb))
+            except KeyboardInterrupt:
+                click.echo("whintrail: interrupted, all processes ended", err=True)
+                return 130
+        samples += found
+        bad += [f"{size.name}: {breach}" for breach in breaches]
+        if to is not None:  # after each size: what is measured is kept
+            save(to, command, began, machine, samples, f"{NOTE} Breaches: {'; '.join(bad)[:1500] or 'none'}.")
+    for line in bad[:20]:
+        click.echo(f"whintrail: {line}", err=True)
+    click.echo(f"{len(sweep.sizes)} sizes, {len(samples)} samples, {len(bad)} breaches")
+    return 1 if bad else 0
+
+
+def _options(command: click.decorators.FC) -> click.decorators.FC:
+    for option in (
+        click.option("--seconds", type=click.FloatRange(5, 86_400), default=600.0, show_default=True),
+        click.option("--memory-mb", type=click.FloatRange(100, 12_000), default=4000.0, show_default=True),
+        click.option("--to", type=click.Path(path_type=Path), help="The file of results."),
+    ):
+        command = option(command)
+    return command
+
+
+def _read(file: Path) -> Sweep:
+    try:
+        return read_sweep(file)
+    except PlanError as error:
+        raise click.ClickException(str(error)) from error
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False, exists=True))
+@click.option("--size", "name", help="Which one of the file's; default: its first.")
+@_options
+def run(file: Path, name: str | None, seconds: float, memory_mb: float, to: Path | None) -> int:
+    """Play one size of FILE: hollow and real gateways, real datagrams, days with faults, an auditor.
+
+    Exit status 1 where the auditor found a breach or the size could not be played within the bounds.
+    """
+    sweep = _read(file)
+    chosen = [size for size in sweep.sizes if name in (None, size.name)][:1]
+    if not chosen:
+        raise click.ClickException(f"{file}: no size {name}")
+    machine = this_machine()
+    command = f"whintrail scale run {file}" + (f" --size {name}" if name else "")
+    return _play_all(Sweep(sizes=tuple(chosen)), seconds, memory_mb, to, command, machine)
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False, exists=True))
+@_options
+def sweep(file: Path, seconds: float, memory_mb: float, to: Path | None) -> int:
+    """Play all sizes of FILE one after another; each is kept in the results as soon as it is over."""
+    return _play_all(_read(file), seconds, memory_mb, to, f"whintrail scale sweep {file}", this_machine())
