--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -100,7 +100,7 @@
             for quantity, values in quantities.items():
                 name, unit = quantity.split()
                 self.take(day, name, unit, values, role=role)
-        if out:
+        if out and day.act in ("steady", "changes"):  # else those that were killed took counts with them
             self.take(day, "lost_share", "share", [1 - heard / out], role="fleet", note="sent, not taken in")
 
     def _delays(self, day: Day) -> None:
