Put real gateways beside hollow ones, and measure the bulletin that both follow

Real ones are asked by their fleet's socket (settings, lists, members) twice a second; what they do between two answers that differ is not known and nothing is made of it.

--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -8,7 +8,7 @@
 
 from msgspec.structs import replace
 
-from whintrail.scale.measure import Delays
+from whintrail.scale.measure import Delays, Reading, read_process, samples_of
 from whintrail.scale.plan import Day
 from whintrail.scale.results import Kind, Sample, sample
 from whintrail.scale.rig import Rig, SizeError, now_us
@@ -37,18 +37,23 @@
         self.samples: list[Sample] = []
         self.caps = 1000
 
-    def take(self, day: Day, quantity: str, unit: str, values: list[float], **more: Any) -> None:
+    def take(
+        self, day: Day, quantity: str, unit: str, values: list[float], kind: Kind = "hollow", **more: Any
+    ) -> None:
         if not values:
             return
-        kind: Kind = "hollow"
         one = sample(quantity, unit, (self.size.gateways, self.size.engines), values, kind)
         self.samples.append(replace(one, day=day.act, subset=self.size.subset, **more))
 
     async def play(self, day: Day) -> None:
         before_breaches = len(self.rig.auditor.breaches)
-        before, began = await self.rig.tell(), time.monotonic()
+        before, carried, began = await self.rig.tell(), await self._bulletin(), time.monotonic()
         await getattr(self, f"_{day.act}")(day)
         after, took = await self.rig.tell(), time.monotonic() - began
+        followers = (await self.rig.bulletin.ask("state"))["followers"]
+        sizes, note = (self.size.gateways, self.size.engines), f"{followers} processes follow it"
+        now = await self._bulletin()
+        self.samples += samples_of(carried, now, sizes, "hollow", role="bulletin", day=day.act, note=note)
         self._costs(day, before, after)
         await self.rig.audit(3.0)
         breaches = self.rig.auditor.breaches[before_breaches:]
@@ -58,6 +63,10 @@
 
     # --- What it cost.
 
+    async def _bulletin(self) -> dict[str, Reading]:
+        told = {"bytes_out": (await self.rig.bulletin.ask("state"))["bytes_out"]}
+        return {"bulletin": read_process(self.rig.bulletin.pid, told)}
+
     def _costs(self, day: Day, before: dict[str, Any], after: dict[str, Any]) -> None:
         """Of processes and gateways that were there before and after, by role."""
         by_role: dict[str, dict[str, list[float]]] = {}
@@ -70,8 +79,8 @@
             then = {row["birth"]: row for row in old["gateways"]}
             leads = any(row["leads"] for row in new["gateways"])
             role = "leader" if leads else "gateway"
-            apart = "council member, in its own process" if name.startswith("control") else ""
-            role = "council" if apart and not leads else role
+            apart = name.startswith("control")  # a member of the council, in its own process
+            role = "control machine" if apart and not leads else role
             here = by_role.setdefault(role, {})
 
             def put(quantity: str, value: float, here: dict[str, list[float]] = here) -> None:
@@ -115,7 +124,41 @@
     # --- Acts.
 
     async def _steady(self, day: Day) -> None:
+        if not self.size.real:
+            await self.rig.rest(day.seconds)
+            return
+        idle = self.rig.group.readings("gateway")
         await self.rig.rest(day.seconds)
+        before = self.rig.group.readings("gateway")
+        self._real(day, idle, before, "idle")
+        asked = self.rig.clients.ask(
+            "load",
+            ports=self.rig.ports,
+            rate=self.size.load_per_s,
+            seconds=day.seconds,
+            timeout_s=day.seconds + 30,
+        )
+        told = await asked
+        after = self.rig.group.readings("gateway")
+        note = f"at {self.size.load_per_s:g}/s each"
+        self._real(day, before, after, note)
+        served, ends = told["ends"].get("served", 0), told["ends"]
+        spent = sum(after[name].cpu_s - before[name].cpu_s for name in after)
+        if served:
+            self.take(
+                day, "query_cpu_us", "us", [spent / served * 1e6], kind="real", note=f"{note}, control in it"
+            )
+            sizes, delays = (self.size.gateways, self.size.engines), Delays.merged([told["delays"]])
+            one = delays.sample("query_p99_ms", "ms", sizes, "real", at=0.99, note=note)
+            self.samples.append(replace(one, day=day.act, subset=self.size.subset))
+        lost = 1 - served / max(1, sum(ends.values()))
+        ended = ", ".join(f"{end} {count}" for end, count in sorted(ends.items()))
+        self.take(day, "not_served_share", "share", [lost], kind="real", note=f"{note}: {ended}")
+
+    def _real(self, day: Day, before: dict[str, Reading], after: dict[str, Reading], note: str) -> None:
+        sizes = self.size.gateways, self.size.engines
+        for one in samples_of(before, after, sizes, "real", day=day.act, note=note):
+            self.samples.append(replace(one, subset=self.size.subset))
 
     async def _version(self, patience_s: float) -> tuple[float, str]:
         """One version proposed, until all act by it: seconds, or why not."""
