--- /dev/null
+++ b/deploy/scale/sweep.jsonnet
@@ -0,0 +1,42 @@
+// Sizes for `whintrail scale sweep deploy/scale/sweep.jsonnet --seconds 3600 --memory-mb 6000 --to FILE`, smallest
+// first; one by name: `whintrail scale run deploy/scale/sweep.jsonnet --size g100-e80`. A core bears some 60 hollow
+// gateways with 80 engines: a size that the machine can't bear shows in loop_stall_ms and lost_share.
+local steady = { act: 'steady', seconds: 10 };
+local changes = { act: 'changes', seconds: 15, rate: 7.4 };  // ten times 64,000 a day
+local size(gateways, engines, more={}) = {
+  name: 'g%d-e%d' % [gateways, engines],
+  gateways: gateways,
+  engines: engines,
+  processes: 2,
+  // A gateway probes no more often than it has queries; so many that the fleet asks each engine each 0.6 s.
+  queries_per_s: std.min(100, std.max(2, 2 * engines / gateways)),
+  zones: 19,
+  // A leader answers each member's question for its lease 2.5 times a second, whatever the fleet's size.
+  messages_per_s: std.max(400, 8 * gateways),
+  bytes_per_s: std.max(40000, 800 * gateways),
+  join_s: 120,
+  days: [steady, changes],
+} + more;
+local days = {
+  days: [
+    { act: 'restarts', seconds: 30, count: 3 },
+    { act: 'machines', seconds: 60, count: 5 },
+    { act: 'zone', seconds: 60 },
+    { act: 'regions', seconds: 20 },
+    { act: 'control', seconds: 10 },
+  ],
+};
+{
+  version: 1,
+  sizes: [
+    size(25, 80),
+    size(50, 80),
+    size(100, 80),
+    // The list alone: with memos each of them hears of each engine each 0.6 s.
+    size(25, 500, { memos: false, queries_per_s: 2 }),
+    size(25, 2000, { memos: false, queries_per_s: 2 }),
+    size(25, 15000, { memos: false, queries_per_s: 2, split: 8 }),
+    size(40, 80, { name: 'real8', real: 8, load_per_s: 50 }),
+    size(60, 80, { name: 'days60' } + days),
+  ],
+}
--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -158,7 +158,9 @@
     def _real(self, day: Day, before: dict[str, Reading], after: dict[str, Reading], note: str) -> None:
         sizes = self.size.gateways, self.size.engines
         for one in samples_of(before, after, sizes, "real", day=day.act, note=note):
-            self.samples.append(replace(one, subset=self.size.subset))
+            idle = note == "idle" and one.quantity == "cpu_share"
+            name = "control_cpu_share" if idle else one.quantity
+            self.samples.append(replace(one, quantity=name, subset=self.size.subset))
 
     async def _version(self, patience_s: float) -> tuple[float, str]:
         """One version proposed, until all act by it: seconds, or why not."""
--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -221,7 +221,7 @@
     spoke: Callable[[], int]  # when the bulletin last said anything
     tells: Callable[..., None]  # an event for the control channel: kind, gateway, more
     sockets: str = ""  # where the fleet's local sockets of control machines are; empty: none
-    keep: Callable[[int, api.EngineList], api.EngineList] | None = None  # with subsets
+    keep: Callable[[int, api.EngineList], api.EngineList | None] | None = None  # with subsets
 
 
 class HollowGateway:
@@ -278,7 +278,10 @@
             if isinstance(event, api.PeerTold) and event.origin in self.peers.cut:
                 return []
             if isinstance(event, api.EngineList) and keep is not None:
-                event = keep(self.number, event)
+                if (kept := keep(self.number, event)) is None:  # nothing of its part has changed
+                    self.common.tells("list", self.number, self.part.lists.generation, self.part.began)
+                    return []
+                event = kept
             began = clock()
             try:
                 return handle(now, event)
--- a/whintrail/scale/host.py
+++ b/whintrail/scale/host.py
@@ -34,6 +34,7 @@
     fleet: FleetSettings
     queries_per_s: float
     memos: bool
+    whole_at: int  # the generation that completes the list
     sockets: str = ""
     spread_s: float = 1.0  # its gateways start one after another over so long
 
@@ -74,7 +75,7 @@
 
     async def begin(self) -> None:
         self.follows = self.loop.create_task(self.bulletin.run())
-        while not self.reading.entries:
+        while self.reading.generation < self.given.whole_at:
             await asyncio.sleep(0.005)
         await self._start(self.given.numbers, self.given.spread_s)
         gc.collect()
--- a/whintrail/scale/plan.py
+++ b/whintrail/scale/plan.py
@@ -40,6 +40,7 @@
     zones: Annotated[int, Meta(ge=1, le=64)] = 1
     load_per_s: Annotated[float, Meta(ge=0.0, le=2000.0)] = 50.0  # queries to each real gateway, steady days
     queries_per_s: Annotated[float, Meta(ge=0.0, le=100.0)] = 2.0  # of a hollow gateway; they pay for probes
+    split: Annotated[int, Meta(ge=1, le=64)] = 1  # lines in which the list is told first: one may be too long
     memos: bool = True  # gateways tell one another of engines
     subset: Annotated[int, Meta(ge=0, le=15_000)] = 0  # engines that each gateway keeps; 0: all
     lease_s: Annotated[float, Meta(ge=0.3, le=60.0)] = 1.2
--- a/whintrail/scale/rig.py
+++ b/whintrail/scale/rig.py
@@ -81,7 +81,7 @@
     async def start(self) -> None:
         size = self.size
         self.entries = await self._engines()
-        given = {"entries": self.entries}
+        given = {"entries": self.entries, "split": size.split}
         self.bulletin, told = await self.group.start(
             "bulletin", "bulletin", "whintrail.scale.bulletin", given
         )
@@ -93,7 +93,7 @@
             if some := list(size.hollow)[number * share : (number + 1) * share]:
                 places[f"hollow{number}"] = some
         await asyncio.gather(*(self.start_host(name, numbers) for name, numbers in places.items()))
-        self.published(1, 0)  # before any was up: it is no change
+        self.published(size.split, 0)  # before any was up: it is no change
         await self._real()
 
     async def _engines(self) -> list[dict[str, Any]]:
@@ -116,7 +116,7 @@
         self.clients, _ = await self.group.start("clients", "client", "whintrail.scale.load", {"seed": 1})
         addresses = [self.address(n) for n in range(size.gateways)]
         self.ports = free_ports(size.real)
-        known = bulletins.known(self.entries)
+        known = bulletins.known(self.entries) if size.split == 1 else {"no": 0, "items": []}
         for number, port in zip(self.real, self.ports, strict=True):
             peers = {"peer_listen": addresses[number], "peers": addresses}
             given = self.where, known, size.gateways
@@ -161,6 +161,7 @@
             "fleet": msgspec.to_builtins(self.fleet),
             "queries_per_s": size.queries_per_s,
             "memos": size.memos,
+            "whole_at": size.split,
             "sockets": str(self.group.folder),
             "spread_s": 0.01 * len(numbers),
         }
@@ -199,7 +200,11 @@
             await asyncio.sleep(BEAT_S)
 
     async def rest(self, seconds: float) -> None:
-        await self.until(lambda: False, seconds)
+        """Asked seldom, so that asking is no part of what is measured."""
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, 2.0))
+            await self.gather()
 
     async def tell(self) -> dict[str, dict[str, Any]]:
         return await self.ask("tell")
