--- a/whintrail/scale/auditor.py
+++ b/whintrail/scale/auditor.py
@@ -142,13 +142,13 @@
 
     def check_lists(self, now: int, patience_us: int) -> None:
         """Nothing lost: what was published reached everybody who was up then and still is, one by one."""
-        for generation, (at, _) in sorted(self.published.items()):
-            if at > now - patience_us:
+        for number, spans in sorted(self.lives.items()):
+            if not spans or spans[-1].end <= now:
                 continue
-            for number, spans in sorted(self.lives.items()):
-                if spans and spans[-1].start <= at and spans[-1].end > now:
-                    if generation not in self.lists[number]:
-                        self.breaches.append(f"n{number} never had generation {generation} of the list")
+            due = [g for g, (at, _) in self.published.items() if spans[-1].start <= at <= now - patience_us]
+            if lost := sorted(set(due) - self.lists[number].keys()):
+                more = f" and {len(lost) - 1} more" if len(lost) > 1 else ""
+                self.breaches.append(f"n{number} never had generation {lost[0]} of the list{more}")
 
     def check_digests(self, told: Iterable[tuple[int, int, int]]) -> None:
         """What each gateway, at a generation, takes for ready is what the list of that generation says."""
