--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -96,6 +96,14 @@
     assert found.breaches == ["n1 never had generation 1 of the list"]
 
 
+def test_an_engine_that_too_few_keep_is_caught() -> None:
+    found = auditor()
+    found.check_kept([["a", "b"], ["a", "b"], ["b", "c"]], {"a", "b"}, 2)
+    assert found.breaches == []
+    found.check_kept([["a", "b"], ["a"], ["b"]], {"a", "b", "c"}, 2)
+    assert found.breaches == ["1 engines are kept by fewer than 2 gateways: c by 0"]
+
+
 def test_whom_each_takes_for_gone_is_held_against_what_was_done() -> None:
     found = auditor(4)
     found.went_down(3, 100)
--- a/whintrail/scale/auditor.py
+++ b/whintrail/scale/auditor.py
@@ -4,7 +4,7 @@
 Pure; times are microseconds of the machine's monotonic clock.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -157,6 +157,13 @@
             if expected is not None and digest != expected:
                 self.breaches.append(f"n{number} holds another list under generation {generation}")
 
+    def check_kept(self, kept: Iterable[Iterable[str]], ready: set[str], least: int) -> None:
+        """With subsets: each engine that is ready is kept by so many gateways at least."""
+        holders = Counter(engine for engines in kept for engine in engines)
+        if short := sorted(engine for engine in ready if holders[engine] < least):
+            first = f"{short[0]} by {holders[short[0]]}"
+            self.breaches.append(f"{len(short)} engines are kept by fewer than {least} gateways: {first}")
+
     def check_alive(self, told: Mapping[int, Iterable[int]], now: int) -> None:
         """Whom each takes for gone, once there was time to learn of all that happened."""
         up = set(self.up(now))
--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -20,6 +20,7 @@
     "sweep_share": ("module_sweep",),
     "query_share": ("module_query",),
     "send_share": ("send",),
+    "subset_share": ("subset",),
 }
 RATES = {
     "datagrams_out_per_s": ("datagrams/s", ("datagrams_out",)),
--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import importlib
 import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -86,17 +87,12 @@
         super().__init__(config, limits, inbox, counters, log)
         self.meter, self.cut = meter, frozenset[int]()
         self.memos = True
-        self.holders: Callable[[bytes], Sequence[int]] | None = None  # with subsets: whom a memo concerns
 
     def tell(self, target: int | None, payload: bytes) -> None:
         if target is None:
             if payload[:1] != b"\xf5":  # a memo
                 if not self.memos:
                     return
-                if self.holders is not None:
-                    for number in self.holders(payload):
-                        self.tell(number, payload)
-                    return
             super().tell(None, payload)
             return
         if target in self.cut:
@@ -221,7 +217,7 @@
     spoke: Callable[[], int]  # when the bulletin last said anything
     tells: Callable[..., None]  # an event for the control channel: kind, gateway, more
     sockets: str = ""  # where the fleet's local sockets of control machines are; empty: none
-    keep: Callable[[int, api.EngineList], api.EngineList | None] | None = None  # with subsets
+    subset: int = 0  # engines that each keeps; 0: all
 
 
 class HollowGateway:
@@ -242,6 +238,8 @@
         self.engines = ModelEngines(self.inbox, Random(number), self.meter)
         self.owner = Owner(settings, number, limits, self.inbox, self.engines, self.counters, common.log)
         self.owner.peers = self.peers
+        if common.subset:
+            self._keep_part(settings)
         fleet = common.fleet
         if common.sockets and number in fleet.council:
             fleet = replace(fleet, socket=f"{common.sockets}/s{number}")
@@ -256,6 +254,15 @@
         self.asked = number << 32
         self._measure()
 
+    def _keep_part(self, settings: api.Settings) -> None:
+        """As the program does where its operator's file has a `subset` part."""
+        side = importlib.import_module("whintrail.gateway.subset")
+        plan, owner = side.SubsetPlan(self.common.subset), self.owner
+        subset = side.SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
+        for name in ("listed", "turn", "tell"):
+            setattr(subset, name, self.meter.timed("subset", getattr(subset, name)))
+        owner.keep_part(subset, side.TURN_US)  # type: ignore[attr-defined]
+
     def _measure(self) -> None:
         meter, node, module = self.meter, self.part.node, self.owner.module
         for name in ("tick", "take", "flush"):
@@ -272,16 +279,11 @@
             datagram(origin, data)
 
         self.peers.fleet = heard
-        handle, clock, keep = module.handle, time.thread_time_ns, self.common.keep
+        handle, clock = module.handle, time.thread_time_ns
 
         def handled(now: int, event: api.Event) -> list[api.Action]:
             if isinstance(event, api.PeerTold) and event.origin in self.peers.cut:
                 return []
-            if isinstance(event, api.EngineList) and keep is not None:
-                if (kept := keep(self.number, event)) is None:  # nothing of its part has changed
-                    self.common.tells("list", self.number, self.part.lists.generation, self.part.began)
-                    return []
-                event = kept
             began = clock()
             try:
                 return handle(now, event)
@@ -289,11 +291,16 @@
                 name = "module_" + KINDS.get(type(event), "query")
                 meter.spent[name] += clock() - began
                 meter.calls[name] += 1
-                if isinstance(event, api.EngineList):
-                    lists = self.part.lists
-                    self.common.tells("list", self.number, lists.generation, self.part.began)
 
         setattr(module, "handle", handled)  # noqa: B010
+        take = self.owner._take
+
+        def taken(item: Input) -> None:
+            take(item)
+            if isinstance(item, Listed):  # the module has it, or it bears on nothing that is kept
+                self.common.tells("list", self.number, self.part.lists.generation)
+
+        setattr(self.owner, "_take", taken)  # noqa: B010
 
     def _measured_tell(self, tell: Callable[..., None]) -> Callable[..., None]:
         """To all is one call here, and the calls for each within it are not counted again."""
@@ -380,14 +387,15 @@
         }
 
     def digest(self) -> tuple[int, int, int]:
-        """Gateway, generation and digest of the engines that its module takes for ready."""
-        return (
-            self.number,
-            self.part.lists.generation,
-            digest_of(
-                e.address for e in self.owner.module.engines.values() if e.state is api.EngineState.READY
-            ),
-        )
+        """Gateway, generation and digest of the engines that it takes for ready, kept or not."""
+        owner = self.owner
+        found = owner.listed_engines() if self.common.subset else owner.module.engines  # type: ignore[attr-defined]
+        ready = (name for name, engine in found.items() if engine.state is api.EngineState.READY)
+        return self.number, self.part.lists.generation, digest_of(ready)
+
+    def kept(self) -> list[str]:
+        """Engines that its module may draw."""
+        return [engine.address for engine in self.owner.module.ready]
 
 
 def digest_of(ready: Iterable[str]) -> int:
--- a/whintrail/scale/host.py
+++ b/whintrail/scale/host.py
@@ -36,6 +36,7 @@
     memos: bool
     whole_at: int  # the generation that completes the list
     sockets: str = ""
+    subset: int = 0
     spread_s: float = 1.0  # its gateways start one after another over so long
 
 
@@ -68,6 +69,7 @@
             spoke=lambda: self.bulletin.spoke_us,
             tells=self.tells,
             sockets=given.sockets,
+            subset=given.subset,
         )
 
     def tells(self, kind: str, number: int, *more: Any) -> None:
@@ -137,6 +139,9 @@
     def digests(self, _: Mapping[str, Any]) -> list[tuple[int, int, int]]:
         return [gateway.digest() for gateway in self.gateways.values()]
 
+    def kept(self, _: Mapping[str, Any]) -> dict[int, list[str]]:
+        return {gateway.number: gateway.kept() for gateway in self.gateways.values()}
+
     def tell(self, _: Mapping[str, Any]) -> dict[str, Any]:
         """Counts since the start; stalls since the last call."""
         with open("/proc/self/statm", encoding="ascii") as file:
@@ -154,7 +159,18 @@
         }
 
     def handlers(self) -> dict[str, Handler]:
-        names = ("revive", "kill", "restart", "cut", "watch", "engines_down", "events", "digests", "tell")
+        names = (
+            "revive",
+            "kill",
+            "restart",
+            "cut",
+            "watch",
+            "engines_down",
+            "events",
+            "digests",
+            "kept",
+            "tell",
+        )
         return {name: getattr(self, name) for name in names}
 
 
--- a/whintrail/scale/rig.py
+++ b/whintrail/scale/rig.py
@@ -23,6 +23,7 @@
 from whintrail.standins.scripted import settings
 from whintrail.versions.lists import Lists
 
+LEAST_HOLDERS = 4  # of an engine that is ready, by those that are up: half of what the plan asks
 BEAT_S = 0.1  # how often is asked what happened
 LOOK_S = 0.5  # the same of real gateways, which tell nothing by themselves
 ENGINES_A_PROCESS = 4000
@@ -124,7 +125,8 @@
             zones = self.config_of_all["settings"]["Zones"]
             config["settings"] |= {"Zones": zones, "Zone": size.zone_of(number)}
             fleet = msgspec.to_builtins(msgspec.structs.replace(self.fleet, socket=self.socket(number)))
-            child = await self.group.start_gateway(f"n{number}", config, {"fleet": fleet})
+            part = {"subset": {"size": size.subset}} if size.subset else {}
+            child = await self.group.start_gateway(f"n{number}", config, {"fleet": fleet, **part})
             if not all(await self.clients.ask("serves", ports=[port], tries=600)):
                 raise SizeError(f"n{number} does not serve: {child.log.read_text()[-300:]}")
             self.auditor.told("up", number, now_us(), 0)
@@ -162,6 +164,7 @@
             "queries_per_s": size.queries_per_s,
             "memos": size.memos,
             "whole_at": size.split,
+            "subset": size.subset,
             "sockets": str(self.group.folder),
             "spread_s": 0.01 * len(numbers),
         }
@@ -321,4 +324,8 @@
             for number, (members,) in await asyncio.to_thread(self._ask_real, "members"):
                 told[number] = [int(row["member"][1:]) for row in members if row["state"] != "alive"]
             self.auditor.check_alive(told, now)
+        if self.size.subset and alive:
+            ready = {e["instanceId"] for e in self.entries if e["lifecycle"] == "active"}
+            kept = [engines for told in (await self.ask("kept")).values() for engines in told.values()]
+            self.auditor.check_kept(kept, ready, min(LEAST_HOLDERS, len(kept) // 2))
         self.auditor.check_rules(now)
