--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -376,7 +376,7 @@
             "leads": part.node.leads,
             "leader": part.node.leader_of(monotonic_us()),
             "alive": part.node.members.count(Life.ALIVE),
-            "gone": [m.number for m in part.node.members.members if m.life is not Life.ALIVE][:200],
+            "gone": [m.number for m in part.node.members.members if m.life in (Life.LEAVING, Life.GONE)],
             "rule": part.acts[0],
             "leased": part.acts[1],
             "generation": part.lists.generation,
--- a/whintrail/scale/host.py
+++ b/whintrail/scale/host.py
@@ -50,9 +50,9 @@
         self.stalls = StallWatch(every_s=0.02)  # more often, it would itself be what is measured
         self.reading = Reading(Clock(), self.gateways)
         self.log = Log("hollow", 5.0, 1.0)
-        limits = Limits.read(given.config)
+        self.limits = Limits.read(given.config)
         # The reader puts into `Reading` as it would into an owner's inbox.
-        self.bulletin = Bulletin(given.config, limits, self.reading, Counters(), self.log)  # type: ignore[arg-type]
+        self.bulletin = Bulletin(given.config, self.limits, self.reading, Counters(), self.log)  # type: ignore[arg-type]
         setattr(self.bulletin, "take_line", self.meter.timed("read", self.bulletin.take_line))  # noqa: B010
         where = [address(text) for text in given.addresses]
         self.common = Common(
@@ -82,6 +82,7 @@
         await self._start(self.given.numbers, self.given.spread_s)
         gc.collect()
         gc.freeze()
+        gc.set_threshold(*self.limits.gc_thresholds)  # as the program does
 
     async def _start(self, numbers: list[int], spread_s: float) -> None:
         for number in numbers:
