--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -128,9 +128,9 @@
         if not self.size.real:
             await self.rig.rest(day.seconds)
             return
-        idle = self.rig.group.readings("gateway")
+        idle = await self.rig.readings()
         await self.rig.rest(day.seconds)
-        before = self.rig.group.readings("gateway")
+        before = await self.rig.readings()
         self._real(day, idle, before, "idle")
         asked = self.rig.clients.ask(
             "load",
@@ -140,7 +140,7 @@
             timeout_s=day.seconds + 30,
         )
         told = await asked
-        after = self.rig.group.readings("gateway")
+        after = await self.rig.readings()
         note = f"at {self.size.load_per_s:g}/s each"
         self._real(day, before, after, note)
         served, ends = told["ends"].get("served", 0), told["ends"]
--- a/whintrail/scale/rig.py
+++ b/whintrail/scale/rig.py
@@ -4,6 +4,8 @@
 import asyncio
 import os
 import random
+import re
+import signal
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -17,12 +19,14 @@
 from whintrail.scale import engines, load
 from whintrail.scale.auditor import Auditor
 from whintrail.scale.hollow import digest_of
+from whintrail.scale.measure import Reading, read_process
 from whintrail.scale.plan import Size
 from whintrail.scale.procs import Child, Group
 from whintrail.scale.real import free_ports
 from whintrail.standins.scripted import settings
 from whintrail.versions.lists import Lists
 
+PEERS = re.compile(r"kind=counters event=peers (heard=[^\n]*)\n")
 LEAST_HOLDERS = 4  # of an engine that is ready, by those that are up: half of what the plan asks
 BEAT_S = 0.1  # how often is asked what happened
 LOOK_S = 0.5  # the same of real gateways, which tell nothing by themselves
@@ -262,6 +266,26 @@
                 return self.hosts[name]
         raise SizeError(f"n{number} is in no process")
 
+    async def readings(self) -> dict[str, Reading]:
+        """Of the real gateways, with the datagrams that each counted itself (SIGUSR1)."""
+        children = [self.group.children[f"n{n}"] for n in self.real]
+        places = [child.log.stat().st_size for child in children]
+        for child in children:
+            child.signal(signal.SIGUSR1)
+        found = {}
+        for child, place in zip(children, places, strict=True):
+            for _ in range(100):
+                lines = child.log.read_bytes()[place:].decode()
+                if match := PEERS.search(lines):
+                    break
+                await asyncio.sleep(0.02)
+            else:
+                raise SizeError(f"{child.name} does not tell its counters")
+            counts = dict(pair.split("=") for pair in match[1].split())
+            traffic = {"datagrams_in": int(counts["heard"]), "datagrams_out": int(counts["sent"])}
+            found[child.name] = read_process(child.pid, traffic)
+        return found
+
     # --- Acting.
 
     def digest(self) -> int:
