--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -261,7 +261,7 @@
         subset = side.SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
         for name in ("listed", "turn", "tell"):
             setattr(subset, name, self.meter.timed("subset", getattr(subset, name)))
-        owner.keep_part(subset, side.TURN_US)  # type: ignore[attr-defined]
+        owner.keep_part(subset, side.TURN_US)
 
     def _measure(self) -> None:
         meter, node, module = self.meter, self.part.node, self.owner.module
@@ -389,7 +389,7 @@
     def digest(self) -> tuple[int, int, int]:
         """Gateway, generation and digest of the engines that it takes for ready, kept or not."""
         owner = self.owner
-        found = owner.listed_engines() if self.common.subset else owner.module.engines  # type: ignore[attr-defined]
+        found = owner.listed_engines() if self.common.subset else owner.module.engines
         ready = (name for name, engine in found.items() if engine.state is api.EngineState.READY)
         return self.number, self.part.lists.generation, digest_of(ready)
 
--- a/whintrail/scale/slopes_fleet.py
+++ b/whintrail/scale/slopes_fleet.py
@@ -15,7 +15,7 @@
 
 from whintrail.config.records import Fleet, Versions
 from whintrail.fleet.leader import EngineSeen
-from whintrail.fleet.membership import Membership, Pace
+from whintrail.fleet.membership import Membership, News, Pace
 from whintrail.fleet.node import Given, Node
 from whintrail.fleet.wire import (
     Ack,
@@ -53,7 +53,7 @@
     members = Membership(count - 1, count, birth_of(count - 1), INCARNATION, BEGAN, Random(3), Pace())
     for number in range(count - 1):
         members.heard(BEGAN, number, birth_of(number), INCARNATION, Ack(0, NOTHING, ()))
-    members.news.clear()
+    members.news = News()
     members.changes.clear()
     return members
 
@@ -150,7 +150,7 @@
                 if number != node.given.me:
                     hello = encode(self.fleet, number, birth_of(number), INCARNATION, Ack(0, NOTHING, ()))
                     node.take(self.now, number, hello)
-            node.members.news.clear()
+            node.members.news = News()
 
     def _node(self, deployment: Deployment, number: int) -> Node:
         settings = deployment.settings(number)
