--- a/whintrail/scale/slopes.py
+++ b/whintrail/scale/slopes.py
@@ -13,6 +13,8 @@
 from whintrail.scale.deployment import Deployment
 from whintrail.scale.results import Sample, save, this_machine
 from whintrail.scale.timing import Bench, BoundError, collector, peak_mb
+from whintrail.subset.part import Part
+from whintrail.subset.plan import SubsetPlan
 
 PARTS = ("versions", "module", "list", "memos", "members", "nodes")
 ENGINES = "20,80,200,800,2000,5000,15000"
@@ -59,8 +61,8 @@
 class Run:
     """Goes through the parts, the small sizes first, and keeps what it has when its bounds end it."""
 
-    def __init__(self, bench: Bench, repeats: int, say: Callable[[str], None]) -> None:
-        self.bench, self.repeats, self.say = bench, repeats, say
+    def __init__(self, bench: Bench, repeats: int, say: Callable[[str], None], subset: int = 0) -> None:
+        self.bench, self.repeats, self.say, self.subset = bench, repeats, say, subset
         self.samples: list[Sample] = []
 
     def take(self, what: str, found: Iterator[Sample]) -> list[Sample]:
@@ -82,7 +84,10 @@
             if "module" in parts:
                 if last:
                     refresh_s *= (size / last) ** 2  # at worst: it has been seen to grow with the square
-                found = slopes_module.module(deployment, self.repeats, self.bench, refresh_s=refresh_s)
+                keep: slopes_module.Keep = slopes_module.everything
+                if self.subset:
+                    keep = Part(SubsetPlan(self.subset), deployment.settings()).listed
+                found = slopes_module.module(deployment, self.repeats, self.bench, keep, refresh_s)
                 taken = self.take(f"module, {size} engines", found)
                 times = [one.value / 1e6 for one in taken if one.quantity == REFRESH]
                 refresh_s, last = (times[0] if times else refresh_s), size
@@ -108,8 +113,10 @@
         middle_engines, middle_gateways = engines[len(engines) // 2], gateways[len(gateways) // 2]
         pairs = [(middle_gateways, size) for size in engines]
         pairs += [(size, middle_engines) for size in gateways if size != middle_gateways]
+        if self.subset:  # both in step: one gateway's part and its holders stay as they are
+            pairs = list(zip(gateways, engines, strict=True))
         for fleet, size in pairs:
-            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bench)
+            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bench, self.subset)
             self.take(f"memos, {fleet} gateways, {size} engines", found)
 
 
@@ -123,6 +130,7 @@
 @click.option("--played-engines", type=Sizes(), default=PLAYED_ENGINES, show_default=True)
 @click.option("--played-gateways", type=Sizes(), default=PLAYED_GATEWAYS, show_default=True)
 @click.option("--rate", default=20.0, show_default=True, help="Queries a second, a gateway that is played.")
+@click.option("--subset", default=0, show_default=True, help="Engines that a gateway keeps; 0: all.")
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; may be repeated.")
 @click.option("--repeats", type=click.IntRange(3), default=15, show_default=True)
 @click.option("--rounds", type=click.IntRange(1), default=3, show_default=True, help="Over all sizes.")
@@ -136,6 +144,7 @@
     played_engines: tuple[int, ...],
     played_gateways: tuple[int, ...],
     rate: float,
+    subset: int,
     parts: tuple[str, ...],
     repeats: int,
     rounds: int,
@@ -148,9 +157,13 @@
     Times are processor time of this one process. Nothing is sent; no address is connected to.
       whintrail scale slopes --to docs/capacity/slopes.json
       whintrail scale slopes --part memos --to /tmp/memos.json
+      whintrail scale slopes --subset 80 --fleet 4000 --part module --part memos \\
+        --played-gateways 100,200,400 --played-engines 375,750,1500 --to docs/capacity/slopes-subset.json
     """
     began, machine = time.time(), this_machine()
-    run = Run(Bench(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True))
+    run = Run(
+        Bench(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True), subset
+    )
     wanted, ended = parts or PARTS, ""
     try:
         with collector(Limits.read({}).gc_thresholds):
@@ -170,10 +183,11 @@
     note += f"{slow[-1]:.2f}). {ended}"
     context = click.get_current_context()
     given = {"engines": engines, "gateways": gateways, "fleet": fleet, "parts": wanted}
-    given |= {"repeats": repeats, "rounds": rounds}
+    given |= {"repeats": repeats, "rounds": rounds, "subset": subset}
     given |= {"played-engines": played_engines, "played-gateways": played_gateways, "rate": rate}
     typed = [f"--{name} {_text(value)}" for name, value in given.items()]
-    save(to, " ".join([context.command_path, *typed]), began, machine, merged(run.samples), note.strip())
+    samples = [replace(one, subset=subset) for one in merged(run.samples)]
+    save(to, " ".join([context.command_path, *typed]), began, machine, samples, note.strip())
     click.echo(f"{len(merged(run.samples))} samples to {to}, {peak_mb():.0f} MB at most", err=True)
     if ended:
         raise click.ClickException(ended)
--- a/whintrail/scale/slopes_memos.py
+++ b/whintrail/scale/slopes_memos.py
@@ -16,12 +16,16 @@
 from whintrail.scale.deployment import SECOND, Deployment
 from whintrail.scale.results import Sample, sample
 from whintrail.scale.timing import Bench
+from whintrail.subset.part import Part
+from whintrail.subset.plan import SubsetPlan
+from whintrail.subset.telling import BATCH_US, TURNS, Telling
 
 HEADERS = 28  # bytes of IPv4 and UDP in front of each datagram
 SETTLE_US, COUNT_US = 6 * SECOND, 10 * SECOND
 PROBE_US, DATAGRAM_US = 500, 300  # until a probe's answer, and until a datagram arrives
 PROBES_AN_ENGINE = 3.0  # queries a gateway, at least so many for each engine's probe that falls to it
 CHECK_EACH = 2000
+TURN_US = BATCH_US // TURNS
 
 
 @dataclass(slots=True)
@@ -29,18 +33,21 @@
     datagrams: int = 0
     bytes: int = 0
     told: int = 0  # datagrams sent
+    told_bytes: int = 0
     probes: int = 0
 
 
 @dataclass(slots=True)
 class Play:
-    """`rate`: queries a second at each gateway."""
+    """`rate`: queries a second at each gateway. `subset`: engines that each keeps; 0: all."""
 
     deployment: Deployment
     rate: float
     seed: int
+    subset: int = 0
     now: int = 0
     modules: list[Gateway] = field(default_factory=list)
+    tellings: list[Telling] = field(default_factory=list)  # where each keeps a part
     counts: list[Heard] = field(default_factory=list)
     queue: list[tuple[int, int, Callable[[], None]]] = field(default_factory=list)
     numbered: int = 0
@@ -61,7 +68,13 @@
             self.modules.append(module)
             self.counts.append(Heard())
             module.start()
-            module.handle(self.now, listed)
+            if self.subset:
+                part = Part(SubsetPlan(self.subset), module.settings)
+                self.tellings.append(Telling(part, me))
+                module.handle(self.now, part.listed(listed) or listed)
+                self.at(self.now + self.random.randrange(TURN_US), partial(self.turn, me))
+            else:
+                module.handle(self.now, listed)
             self.at(self.now + self.random.randrange(SWEEP_US), partial(self.sweep, me))
             self.at(self.now + self.pause(), partial(self.ask, me))
 
@@ -90,8 +103,11 @@
                 case api.SendProbe(engine):
                     self.counts[me].probes += 1
                     self.at(self.now + PROBE_US, partial(self.probed, me, engine))
+                case api.TellPeer(None, payload) if self.tellings:
+                    self.tellings[me].add(self.now, payload)
                 case api.TellPeer(None, payload):
                     self.counts[me].told += len(self.modules) - 1
+                    self.counts[me].told_bytes += (len(payload) + HEADERS) * (len(self.modules) - 1)
                     self.at(self.now + DATAGRAM_US, partial(self.hear, me, payload))
                 case _:
                     pass
@@ -122,6 +138,19 @@
         report = api.LoadReport(min(1.0, held / 16), float(held))
         self.tell(me, api.ProbeEnded(engine, api.Outcome.OK, PROBE_US, report))
 
+    def turn(self, me: int) -> None:
+        """What is due goes to those that keep its engines."""
+        for target, payload in self.tellings[me].due(self.now):
+            self.counts[me].told += 1
+            self.counts[me].told_bytes += len(payload) + HEADERS
+            self.at(self.now + DATAGRAM_US, partial(self.reach, me, target, payload))
+        self.at(self.now + TURN_US, partial(self.turn, me))
+
+    def reach(self, origin: int, target: int, payload: bytes) -> None:
+        self.counts[target].datagrams += 1
+        self.counts[target].bytes += len(payload) + HEADERS
+        self.tell(target, api.PeerTold(origin, payload))
+
     def hear(self, origin: int, payload: bytes) -> None:
         event = api.PeerTold(origin, payload)
         for me, counts in enumerate(self.counts):
@@ -131,12 +160,12 @@
                 self.tell(me, event)
 
 
-def memos(deployment: Deployment, rate: float, seed: int, bench: Bench) -> Iterator[Sample]:
+def memos(deployment: Deployment, rate: float, seed: int, bench: Bench, subset: int = 0) -> Iterator[Sample]:
     """Datagrams and bytes a second that a gateway hears, and sends, of memos; its probes a second. `rate`:
     queries a second at each gateway at least, raised where they would not pay for its part of the probes."""
     sizes = deployment.gateways, deployment.engines
     rate = max(rate, PROBES_AN_ENGINE * deployment.engines / deployment.gateways)
-    play = Play(deployment, rate, seed)
+    play = Play(deployment, rate, seed, subset)
     play.begin()
     play.run(SETTLE_US, bench)
     play.counts[:] = [Heard() for _ in play.counts]
@@ -146,6 +175,7 @@
     for quantity, unit, values in (
         ("memo_datagrams_per_s", "datagrams/s", [c.datagrams / seconds for c in play.counts]),
         ("memo_bytes_per_s", "bytes/s", [c.bytes / seconds for c in play.counts]),
+        ("memo_sent_bytes_per_s", "bytes/s", [c.told_bytes / seconds for c in play.counts]),
         ("memo_sent_datagrams_per_s", "datagrams/s", [c.told / seconds for c in play.counts]),
         ("probes_per_s", "count", [c.probes / seconds for c in play.counts]),
         # Of all gateways together: what does not depend on their number.
--- a/whintrail/scale/slopes_module.py
+++ b/whintrail/scale/slopes_module.py
@@ -26,7 +26,7 @@
 from whintrail.scale.timing import Bench, cpu_us, held_bytes
 from whintrail.versions.lists import Lists
 
-Keep = Callable[[api.EngineList], api.EngineList]  # what of a list reaches the module
+Keep = Callable[[api.EngineList], api.EngineList | None]  # what of a list reaches the module; None: nothing
 SWEEPS = 4  # a round: one of them looks whom to probe
 # Queries by the engine: what is out at a time, and what comes between two sweeps. More would be a jam, as
 # each of the other gateways is taken to send as much.
@@ -49,12 +49,16 @@
         self.now, self.asked, self.heard_at = deployment.started_ms * 1000 + 3_600 * SECOND, 0, 0
         self.module = Gateway(deployment.settings(), 7, self.now)
         self.module.start()
-        self.tell(keep(deployment.listed(api.ListKind.CACHED)))
+        self.listed(deployment.listed(api.ListKind.CACHED))
         self.hear()
 
     def tell(self, event: api.Event) -> list[api.Action]:
         return self.module.handle(self.now, event)
 
+    def listed(self, event: api.EngineList) -> None:
+        if (kept := self.keep(event)) is not None:
+            self.tell(kept)
+
     def hear(self) -> None:
         """A fresh report of each engine, as probes bring it."""
         self.heard_at = self.now
@@ -113,7 +117,7 @@
         for name, engine in self.module.engines.items():
             if engine.probing:
                 self.tell(api.ProbeEnded(name, api.Outcome.OK, 500, api.LoadReport(0.3, 3.0)))
-        self.serve(max(1, min(MOST_SERVED, int(SERVED * self.deployment.engines))))
+        self.serve(max(1, min(MOST_SERVED, int(SERVED * len(self.module.engines)))))
         if self.now - self.heard_at > FRESH_US:
             self.hear()
 
@@ -136,6 +140,7 @@
     yield sample("module_bytes", "bytes", sizes, [float(held)], "core")
     del made
     alone = Alone(deployment, keep)
+    kept = len(alone.module.engines)
     alone.serve(200)
     alone.pass_time(2 * FRESH_US)
 
@@ -143,15 +148,15 @@
         alone.pass_time(REFRESH_US, refresh=True)
 
     yield took("module_refresh_unused_us", alone.module._refresh, before=due, alone=True)
-    for _ in range(max(1, min(MOST_OPEN, int(OPEN * deployment.engines)))):
+    for _ in range(max(1, min(MOST_OPEN, int(OPEN * kept)))):
         alone.ask()
-        alone.pass_time(min(MOST_APART_US, APART_US // deployment.engines))
+        alone.pass_time(min(MOST_APART_US, APART_US // kept))
 
     rounds = cpu_us(alone.sweep, max(5, repeats // 2), bench, before=alone.settle, alone=True)
     yield sample("module_sweep_us", "us", sizes, [figure / SWEEPS for figure in rounds], "core")
 
     def stale() -> None:
-        alone.pass_time(min(MOST_APART_US, APART_US // deployment.engines))
+        alone.pass_time(min(MOST_APART_US, APART_US // kept))
         alone.module.sums = None
 
     latest: list[tuple[int, list[api.Action]]] = []
@@ -176,12 +181,12 @@
     yield took("module_choose_us", choose, before=arrived, alone=True)
     yield took("module_ended_us", lambda: alone.end(*latest[-1]), before=arrived, alone=True)
 
-    states = ["leaving", "active"]
-    entries = [api.EngineList(api.ListKind.DELTA, (deployment.entry(0, state),)) for state in states]
+    states, one = ["leaving", "active"], deployment.names().index(min(alone.module.engines))
+    entries = [api.EngineList(api.ListKind.DELTA, (deployment.entry(one, state),)) for state in states]
     deltas = iter(range(1 << 60))
-    yield took("module_list_delta_us", lambda: alone.tell(keep(entries[next(deltas) % 2])))
+    yield took("module_list_delta_us", lambda: alone.listed(entries[next(deltas) % 2]))
     whole = deployment.listed()
-    yield took("module_list_whole_us", lambda: alone.tell(keep(whole)), alone=True)
+    yield took("module_list_whole_us", lambda: alone.listed(whole), alone=True)
     told = [
         memo.encode([memo.Sighting(memo.key_of(name), 0, api.LoadReport(0.3, 4.0), 8.0)])
         for name in list(alone.module.engines)[:64]
@@ -189,7 +194,9 @@
     memos = iter(range(1 << 60))
     yield took("module_memo_us", lambda: alone.tell(api.PeerTold(1, told[next(memos) % len(told)])))
 
-    seen = cast(FleetPart, SimpleNamespace(owner=SimpleNamespace(module=alone.module), drained=frozenset()))
+    listed = {entry.engine: entry for entry in whole.entries}  # kept or not, the fleet counts them all
+    owner = SimpleNamespace(module=alone.module, listed_engines=lambda: listed)
+    seen = cast(FleetPart, SimpleNamespace(owner=owner, drained=frozenset()))
     engines = took("leader_engines_us", lambda: FleetPart.engines(seen))
     yield replace(engines, role="leader")
     if refresh_s < MOST_FIGURE_S:
