--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -5,7 +5,9 @@
 test of a whole run: what is mended leaves the list in the same commit.
 """
 
+from collections.abc import Iterable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -28,17 +30,51 @@
     return listed
 
 
+def _unknown(config: pytest.Config, listed: Iterable[str]) -> str:
+    """What to say where a whole run collected all but these."""
+    paths = [Path(str(arg).split("::")[0]).name for arg in config.args]
+    whole = not any(path.endswith(".py") for path in paths) and not config.option.keyword
+    return f"{FILE}: no such test: {', '.join(listed)}" if whole and listed else ""
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    read(config.rootpath)  # before any worker starts: an error there would hide its reason
+
+
+@pytest.hookimpl(tryfirst=True)  # by the names as they are listed, before workers add the group to them
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     listed = read(config.rootpath)
     for item in items:
         if (why := listed.pop(item.nodeid, None)) is not None:
             item.add_marker(pytest.mark.xfail(reason=why, strict=True))
-    paths = [Path(str(arg).split("::")[0]).name for arg in config.args]
-    whole = not any(path.endswith(".py") for path in paths) and not config.option.keyword
-    if whole and listed:
-        raise pytest.UsageError(f"{FILE}: no such test: {', '.join(listed)}")
+    if not hasattr(config, "workerinput") and (says := _unknown(config, listed)):
+        raise pytest.UsageError(says)
+
+
+class Collected:
+    """Where workers collect: what they found is compared in the process that started them."""
+
+    unknown = ""
+
+
+collected = Collected()
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node: Any, ids: list[str]) -> None:
+    names = {name for id in ids for name in (id, id.rpartition("@")[0])}
+    collected.unknown = _unknown(
+        node.config, [test for test in read(node.config.rootpath) if test not in names]
+    )
+
+
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    if collected.unknown:
+        session.exitstatus = pytest.ExitCode.USAGE_ERROR
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for test, why in read(Path(terminalreporter.config.rootpath)).items():
         terminalreporter.write_line(f"known red: {test}: {why}")
+    if collected.unknown:
+        terminalreporter.write_line(f"ERROR: {collected.unknown}")
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -7,6 +7,8 @@
 
 import json
 import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -17,7 +19,8 @@
     Client,
     Engine,
     Gateway,
-    deployment,
+    configuration,
+    listener,
     query,
     wait_for,
 )
@@ -56,44 +59,58 @@
 """
 
 
-def start(given: Gateway, at: str, bulletin: str) -> Gateway:
-    """The same gateway once more, which crosses a renewed configuration there."""
-    folder = given.path.parent / "again"
-    folder.mkdir()
-    (folder / "sitecustomize.py").write_text(SITE)
-    config = json.loads(given.path.read_text())
-    (folder / "config.json.new").write_text(json.dumps({**config, "bulletin": bulletin}))
-    given.end()
-    return Gateway(config, folder, CROSS_AT=at, PYTHONPATH=str(folder))
+class World:
+    """A gateway that crosses, at a place, a configuration that names another bulletin and another engine."""
+
+    def __init__(self, folder: Path, at: str) -> None:
+        self.engines, self.old, self.new = [Engine("s-1"), Engine("s-2")], Bulletin(), Bulletin()
+        first, second = self.engines
+        self.old.publish(first.entry(), reset=True)
+        self.new.publish(first.entry(), reset=True)
+        self.new.publish(first.entry("leaving"), second.entry())
+        with listener() as free:
+            self.port: int = free.getsockname()[1]
+        config = configuration("n0", self.port, self.old.where, self.old.events)
+        self.renewed = folder / "config.json.new"
+        self.renewed.write_text(json.dumps({**config, "bulletin": self.new.where}))
+        (folder / "sitecustomize.py").write_text(SITE)
+        self.gateway = Gateway(config, folder, CROSS_AT=at, PYTHONPATH=str(folder))
+
+    def serves(self) -> bool:
+        assert self.gateway.process.poll() is None, self.gateway.text()
+        return "serves on" in self.gateway.text()
+
+    def end(self) -> None:
+        self.gateway.end()
+        for server in (self.old, self.new, *self.engines):
+            server.close()
+
+
+@contextmanager
+def world(folder: Path, at: str) -> Iterator[World]:
+    given = World(folder, at)
+    try:
+        wait_for(given.serves)
+        yield given
+        given.gateway.signal(signal.SIGTERM)
+        assert given.gateway.process.wait(PATIENCE_S) == 0
+        assert not given.renewed.exists()  # it has crossed
+    finally:
+        given.end()
 
 
 @pytest.mark.parametrize(
     "at",
     ["whintrail.gateway.service", "asyncio", "orjson", "whintrail.brain", "uvloop", "uvloop.loop", "read"],
 )
-def test_a_signal_during_the_start_neither_ends_the_program_nor_is_lost(at: str) -> None:
-    first, second = Engine("s-1"), Engine("s-2")
-    new = Bulletin()
-    with deployment(first) as given:
-        given.engines.append(second)
-        try:
-            new.events = [*given.bulletin.events]
-            new.publish(first.entry("leaving"), second.entry())
-            given.gateway = start(given.gateway, at, new.where)
-            wait_for(given.ready)
-            assert not (given.gateway.path.parent / "config.json.new").exists()  # it has crossed
-            wait_for(lambda: new.asked == [1])
-            wait_for(lambda: Client(given.port).ask(query(ttl=1000)).rows and second.done)
-            given.gateway.signal(signal.SIGTERM)
-            assert given.gateway.process.wait(PATIENCE_S) == 0
-        finally:
-            new.close()
-
-
-def test_a_signal_at_the_very_end_leaves_the_status_as_it_is() -> None:
-    with deployment() as given:
-        given.gateway = start(given.gateway, "end", given.bulletin.where)
-        wait_for(given.ready)
-        given.gateway.signal(signal.SIGTERM)
-        assert given.gateway.process.wait(PATIENCE_S) == 0
-        assert not Path(f"{given.gateway.path}.new").exists()
+def test_a_signal_during_the_start_neither_ends_the_program_nor_is_lost(at: str, tmp_path: Path) -> None:
+    with world(tmp_path, at) as given:
+        wait_for(lambda: given.new.asked == [1])
+        client = Client(given.port)
+        wait_for(lambda: client.ask(query(ttl=1000)).rows and given.engines[1].done)
+        client.close()
+
+
+def test_a_signal_at_the_very_end_leaves_the_status_as_it_is(tmp_path: Path) -> None:
+    with world(tmp_path, "end") as given:
+        assert given.renewed.exists()
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -9,17 +9,22 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TESTS = """
+import pytest
+
+@pytest.mark.xdist_group("a group")
 def test_sound(): pass
+
+@pytest.mark.xdist_group("a group")
 def test_red(): assert False
 """
 
 
-def run(folder: Path, *lines: str) -> tuple[int, str]:
+def run(folder: Path, lines: list[str], more: list[str]) -> tuple[int, str]:
     (folder / "test_it.py").write_text(TESTS)
     (folder / "pytest.ini").write_text("[pytest]\n")
     (folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
-    command = [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider", "-q"]
-    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    command = [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider", "-q", *more]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
     ended = subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True, timeout=60)
     return ended.returncode, ended.stdout + ended.stderr
 
@@ -39,6 +44,11 @@
         ([RED, RED], 4, "each test once"),
     ],
 )
-def test_only_what_is_listed_is_passed_over(tmp_path: Path, lines: list[str], status: int, says: str) -> None:
-    ended, text = run(tmp_path, *lines)
+@pytest.mark.parametrize(
+    "more", [[], ["-p", "xdist.plugin", "-n", "1", "--dist", "loadgroup"]], ids=["one", "workers"]
+)
+def test_only_what_is_listed_is_passed_over(
+    tmp_path: Path, lines: list[str], status: int, says: str, more: list[str]
+) -> None:
+    ended, text = run(tmp_path, lines, more)
     assert ended == status and says in text, text
