--- a/deploy/scale/sweep.jsonnet
+++ b/deploy/scale/sweep.jsonnet
@@ -29,13 +29,17 @@
 {
   version: 1,
   sizes: [
+    size(12, 40),
+    size(12, 80),
     size(25, 80),
     size(50, 80),
     size(100, 80),
-    // The list alone: with memos each of them hears of each engine each 0.6 s.
-    size(25, 500, { memos: false, queries_per_s: 2 }),
-    size(25, 2000, { memos: false, queries_per_s: 2 }),
-    size(25, 15000, { memos: false, queries_per_s: 2, split: 8 }),
+    size(12, 160),
+    // The list alone, without memos and with few queries: each of them hears of each engine each 0.6 s, and a
+    // look through the engines, with each query at most, costs their square.
+    size(12, 500, { memos: false, queries_per_s: 1 }),
+    size(12, 2000, { memos: false, queries_per_s: 1 }),
+    size(4, 15000, { memos: false, queries_per_s: 0, split: 8, processes: 1 }),
     size(40, 80, { name: 'real8', real: 8, load_per_s: 50 }),
     size(60, 80, { name: 'days60' } + days),
   ],
