--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -13,6 +13,7 @@
 from whintrail.scale.results import Kind, Sample, sample
 from whintrail.scale.rig import Rig, SizeError, now_us
 
+LIST_S = 20.0  # for the last change of the list to reach everybody
 CORES = {
     "node_share": ("node_tick", "node_take", "node_flush"),
     "memo_share": ("module_memo",),
@@ -56,7 +57,7 @@
         now = await self._bulletin()
         self.samples += samples_of(carried, now, sizes, "hollow", role="bulletin", day=day.act, note=note)
         self._costs(day, before, after)
-        await self.rig.audit(3.0)
+        await self.rig.audit(LIST_S)
         breaches = self.rig.auditor.breaches[before_breaches:]
         note = "; ".join(breaches[:3])
         self.take(day, "breaches", "count", [float(len(breaches))], role="fleet", note=note[:300])
@@ -244,7 +245,7 @@
         if times:
             self.take(day, "removal_known_s", "s", times, note=note)
         if known:
-            await rig.audit(3.0)  # with those down
+            await rig.audit(LIST_S)  # with those down
         began = time.monotonic()
         await rig.revive(numbers)
         await rig.joined(self.size.join_s)
--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -162,8 +162,12 @@
         if node.settings is not None:
             rule = node.settings.member.acting.rule(monotonic_us())
             if (rule.name, rule.leased) != self.acts:
+                # The owner looks at the lease before each decision: it ended when it ran out, though this
+                # turn, by which it is told, comes later where the process waited for a processor.
+                over = self.acts[1] and not rule.leased
+                at = min(monotonic_us(), node.settings.member.acting.until) if over else None
                 self.acts = rule.name, rule.leased
-                self.tells("rule", me, *self.acts)
+                self.tells("rule", me, *self.acts, at=at)
         if node.leads is not self.led:
             self.led = node.leads
             self.tells("leads", me, self.led)
--- a/whintrail/scale/host.py
+++ b/whintrail/scale/host.py
@@ -72,8 +72,9 @@
             subset=given.subset,
         )
 
-    def tells(self, kind: str, number: int, *more: Any) -> None:
-        self.happened.append((kind, number, monotonic_us(), *more))
+    def tells(self, kind: str, number: int, *more: Any, at: int | None = None) -> None:
+        """`at`: microseconds of the monotonic clock; now, where nothing is said."""
+        self.happened.append((kind, number, monotonic_us() if at is None else at, *more))
 
     async def begin(self) -> None:
         self.follows = self.loop.create_task(self.bulletin.run())
