--- a/deploy/scale/sweep.jsonnet
+++ b/deploy/scale/sweep.jsonnet
@@ -1,4 +1,4 @@
-// Sizes for `whintrail scale sweep deploy/scale/sweep.jsonnet --seconds 3600 --memory-mb 6000 --to FILE`, smallest
+// Sizes for `whintrail scale sweep deploy/scale/sweep.jsonnet --seconds 3600 --memory-mb 6000 --to docs/capacity`, smallest
 // first; one by name: `whintrail scale run deploy/scale/sweep.jsonnet --size g100-e80`. A core bears some 60 hollow
 // gateways with 80 engines: a size that the machine can't bear shows in loop_stall_ms and lost_share.
 local steady = { act: 'steady', seconds: 10 };
--- a/whintrail/scale/days.py
+++ b/whintrail/scale/days.py
@@ -14,6 +14,7 @@
 from whintrail.scale.rig import Rig, SizeError, now_us
 
 LIST_S = 20.0  # for the last change of the list to reach everybody
+OFTEN_NONE = ("held_back_per_s", "subset_share", "list_share")  # not told where all are 0
 CORES = {
     "node_share": ("node_tick", "node_take", "node_flush"),
     "memo_share": ("module_memo",),
@@ -42,7 +43,7 @@
     def take(
         self, day: Day, quantity: str, unit: str, values: list[float], kind: Kind = "hollow", **more: Any
     ) -> None:
-        if not values:
+        if not values or (quantity in OFTEN_NONE and not any(values)):
             return
         one = sample(quantity, unit, (self.size.gateways, self.size.engines), values, kind)
         self.samples.append(replace(one, day=day.act, subset=self.size.subset, **more))
--- a/whintrail/scale/run.py
+++ b/whintrail/scale/run.py
@@ -12,7 +12,7 @@
 from whintrail.scale.days import Days
 from whintrail.scale.plan import PlanError, Size, Sweep, read_sweep
 from whintrail.scale.procs import BoundError, ChildError, Group
-from whintrail.scale.results import Machine, Sample, save, this_machine
+from whintrail.scale.results import Sample, save, this_machine
 from whintrail.scale.rig import Rig, SizeError
 
 NOTE = (
@@ -61,15 +61,12 @@
         return days.samples, rig.auditor.breaches
 
 
-def _play_all(
-    sweep: Sweep, seconds: float, memory_mb: float, to: Path | None, command: str, machine: Machine
-) -> int:
-    samples: list[Sample] = []
+def _play_all(sweep: Sweep, seconds: float, memory_mb: float, to: Path | None, command: str) -> int:
+    count = 0
     bad: list[str] = []
-    began = time.time()
     end = time.monotonic() + seconds
     for size in sweep.sizes:
-        left = end - time.monotonic()
+        left, began, machine = end - time.monotonic(), time.time(), this_machine()
         if left <= 1:
             bad.append(f"{size.name}: not run, no time left")
             continue
@@ -82,13 +79,15 @@
             except KeyboardInterrupt:
                 click.echo("whintrail: interrupted, all processes ended", err=True)
                 return 130
-        samples += found
+        count += len(found)
         bad += [f"{size.name}: {breach}" for breach in breaches]
         if to is not None:  # after each size: what is measured is kept
-            save(to, command, began, machine, samples, f"{NOTE} Breaches: {'; '.join(bad)[:1500] or 'none'}.")
+            told = "; ".join(breaches)[:1500] or "none"
+            path = to / f"run-{size.name}.json" if to.is_dir() else to
+            save(path, command, began, machine, found, f"{NOTE} Breaches: {told}.")
     for line in bad[:20]:
         click.echo(f"whintrail: {line}", err=True)
-    click.echo(f"{len(sweep.sizes)} sizes, {len(samples)} samples, {len(bad)} breaches")
+    click.echo(f"{len(sweep.sizes)} sizes, {count} samples, {len(bad)} breaches")
     return 1 if bad else 0
 
 
@@ -96,7 +95,7 @@
     for option in (
         click.option("--seconds", type=click.FloatRange(5, 86_400), default=600.0, show_default=True),
         click.option("--memory-mb", type=click.FloatRange(100, 12_000), default=4000.0, show_default=True),
-        click.option("--to", type=click.Path(path_type=Path), help="The file of results."),
+        click.option("--to", type=click.Path(path_type=Path), help="The file of results, or a folder."),
     ):
         command = option(command)
     return command
@@ -122,14 +121,16 @@
     chosen = [size for size in sweep.sizes if name in (None, size.name)][:1]
     if not chosen:
         raise click.ClickException(f"{file}: no size {name}")
-    machine = this_machine()
     command = f"whintrail scale run {file}" + (f" --size {name}" if name else "")
-    return _play_all(Sweep(sizes=tuple(chosen)), seconds, memory_mb, to, command, machine)
+    return _play_all(Sweep(sizes=tuple(chosen)), seconds, memory_mb, to, command)
 
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path, dir_okay=False, exists=True))
 @_options
 def sweep(file: Path, seconds: float, memory_mb: float, to: Path | None) -> int:
-    """Play all sizes of FILE one after another; each is kept in the results as soon as it is over."""
-    return _play_all(_read(file), seconds, memory_mb, to, f"whintrail scale sweep {file}", this_machine())
+    """Play all sizes of FILE one after another; --to is a folder, in which each size has a file run-NAME.json
+    as soon as it is over."""
+    if to is not None:
+        to.mkdir(parents=True, exist_ok=True)
+    return _play_all(_read(file), seconds, memory_mb, to, f"whintrail scale sweep {file}")
