--- a/deploy/scale/sweep.jsonnet
+++ b/deploy/scale/sweep.jsonnet
@@ -1,8 +1,8 @@
 // Sizes for `whintrail scale sweep deploy/scale/sweep.jsonnet --seconds 3600 --memory-mb 6000 --to docs/capacity`, smallest
 // first; one by name: `whintrail scale run deploy/scale/sweep.jsonnet --size g100-e80`. A core bears some 60 hollow
 // gateways with 80 engines: a size that the machine can't bear shows in loop_stall_ms and lost_share.
-local steady = { act: 'steady', seconds: 10 };
-local changes = { act: 'changes', seconds: 15, rate: 7.4 };  // ten times 64,000 a day
+local steady = { act: 'steady', seconds: 8 };
+local changes = { act: 'changes', seconds: 12, rate: 7.4 };  // ten times 64,000 a day
 local size(gateways, engines, more={}) = {
   name: 'g%d-e%d' % [gateways, engines],
   gateways: gateways,
@@ -17,6 +17,7 @@
   join_s: 120,
   days: [steady, changes],
 } + more;
+local alone = { memos: false, queries_per_s: 0 };
 local days = {
   days: [
     { act: 'restarts', seconds: 30, count: 3 },
@@ -33,14 +34,17 @@
     size(12, 80),
     size(25, 80),
     size(50, 80),
-    size(100, 80),
     size(12, 160),
+    // Members and versions alone: no memos, and no queries that would pay for probes.
+    size(50, 80, { name: 'm50' } + alone),
+    size(100, 80, { name: 'm100' } + alone),
+    size(200, 80, { name: 'm200' } + alone),
     // The list alone, without memos and with few queries: each of them hears of each engine each 0.6 s, and a
     // look through the engines, with each query at most, costs their square.
     size(12, 500, { memos: false, queries_per_s: 1 }),
     size(12, 2000, { memos: false, queries_per_s: 1 }),
     size(4, 15000, { memos: false, queries_per_s: 0, split: 8, processes: 1 }),
     size(40, 80, { name: 'real8', real: 8, load_per_s: 50 }),
-    size(60, 80, { name: 'days60' } + days),
+    size(60, 80, { name: 'days60', queries_per_s: 2 } + days),
   ],
 }
