--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -287,3 +287,9 @@
     with pytest.raises(NotMeasured):
         Size(1, 1, Figures([])).measured("module_refresh_us", "engines")
     assert Found(rows.ROWS[0], None, "x", None, ()).share is None
+
+
+def test_runs_of_predictions_are_in_no_fit(tmp_path: Path) -> None:
+    results(tmp_path, "x.json", line("module_refresh_us", 3.5), 0.0)
+    results(tmp_path, "found-x.json", [changed(wanted(15_000), value=1e9, unit="us")], 0.0)
+    assert {s.engines for s in tables.fitted(read_results(tmp_path))} == set(ENGINES)
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -96,8 +96,7 @@
 
 def reckoned(results: Mapping[str, Results]) -> list[Sample]:
     """Every row and fact that could be reckoned, at today's size, half way and the size that is coming."""
-    samples = [s for r in results.values() for s in r.samples]
-    figures, found = Figures(samples), list[Sample]()
+    figures, found = Figures(tables.fitted(results)), list[Sample]()
     for way in (0.0, 0.5, 1.0):
         gateways, engines = capacity.on_the_way(way)
         for key, unit, value in _values(figures, (gateways, engines)):
@@ -305,8 +304,7 @@
     for line in changed_lines(before, after):
         click.echo(line)
     if plots is not None:
-        samples = [s for r in results.values() for s in r.samples]
-        for path in plot(samples, plots):
+        for path in plot(tables.fitted(results), plots):
             click.echo(f"plot {path}")
 
 
@@ -346,8 +344,7 @@
       whintrail scale check                                 at the size that is coming
       whintrail scale check --gateways 200 --engines 80     at today's
     """
-    samples = [s for r in _read(folder).values() for s in r.samples]
-    figures = Figures(samples, subset=subset)
+    figures = Figures(tables.fitted(_read(folder)), subset=subset)
     size = float(gateways), float(engines)
     held = [f for f in (capacity.find(row, figures, size) for row in rows.ROWS) if f.row.budget is not None]
     shown = [f for f in held if every or f.passed]
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -73,7 +73,7 @@
 
 
 def _engine_shut(s: Size) -> Estimate:
-    heard = s.measured("list_apply_s", "gateways", stat="high")
+    heard = s.measured("list_apply_s", "gateways", kind="hollow", day="changes", stat="high")
     return heard + exactly(given("silent_s"))
 
 
--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -55,7 +55,7 @@
 
 
 def _statement(s: Size) -> Estimate:
-    each = s.measured("query_cpu_us", "engines", kind="real")
+    each = s.measured("query_marginal_cpu_us", "engines", kind="real")
     return share(each, STATEMENTS * given("peak_over_mean"))
 
 
@@ -142,6 +142,11 @@
     return s.measured("version_in_force_s", "gateways", note="one after another") * CHANGES
 
 
+def _hollow_bytes(s: Size) -> Estimate:
+    heard = s.measured("bytes_in_per_s", "gateways", kind="hollow", role="gateway")
+    return heard + s.measured("bytes_out_per_s", "gateways", kind="hollow", role="gateway")
+
+
 # --- The leader.
 
 
@@ -200,7 +205,7 @@
         given("data_path_cores") - CPU,
         "a core less control's 1.4%",
         "whintrail/gateway/owner.py:Owner._asked",
-        f"query_cpu_us x {STATEMENTS:,.0f}/s x peak {given('peak_over_mean'):g}",
+        f"query_marginal_cpu_us x {STATEMENTS:,.0f}/s x peak {given('peak_over_mean'):g}",
     ),
     Row(
         "refresh_stand",
@@ -238,6 +243,36 @@
         "whintrail/gateway/bulletin.py:read_listed",
         "list_read_whole_us + gateway_update_whole_us + module_list_whole_us, in one go",
     ),
+    Row(
+        "whole_list_stall",
+        DATA,
+        "a whole list, as an empty query meets it, measured",
+        "ms",
+        "engines",
+        lambda s: s.measured(
+            "loop_stall_ms", "engines", kind="real", note="an empty query's longest answer, whole list"
+        ),
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/gateway/owner.py:Owner._listed",
+        "loop_stall_ms, whole list",
+        total=True,
+    ),
+    Row(
+        "one_entry_stall",
+        DATA,
+        "a list event, as an empty query meets it, measured",
+        "ms",
+        "engines",
+        lambda s: s.measured(
+            "loop_stall_ms", "engines", kind="real", note="an empty query's longest answer, one entry"
+        ),
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/gateway/owner.py:Owner._listed",
+        "loop_stall_ms, one entry",
+        total=True,
+    ),
     Row(
         "clients",
         DATA,
@@ -375,6 +410,32 @@
         "control_cpu_share over engines",
         total=True,
     ),
+    Row(
+        "hollow_cpu_fleet",
+        CONTROL,
+        "the same, over gateways",
+        "share",
+        "gateways",
+        lambda s: s.measured("control_cpu_share", "gateways", kind="hollow", role="gateway"),
+        CPU,
+        CPU_NAME,
+        "whintrail/fleet/node.py:Node",
+        "control_cpu_share over gateways",
+        total=True,
+    ),
+    Row(
+        "hollow_bytes",
+        CONTROL,
+        "datagrams of a hollow gateway, in and out, memos too",
+        "bytes/s",
+        "gateways",
+        _hollow_bytes,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/gateway/peers.py:Peers",
+        "bytes_in_per_s + bytes_out_per_s over gateways",
+        total=True,
+    ),
     Row(
         "memo_datagrams",
         CONTROL,
@@ -540,7 +601,7 @@
         "a list event held by all, p99",
         "s",
         "gateways",
-        lambda s: s.measured("list_apply_s", "gateways", stat="high"),
+        lambda s: s.measured("list_apply_s", "gateways", kind="hollow", day="changes", stat="high"),
         IN_FORCE,
         "3 s",
         "whintrail/gateway/bulletin.py:Bulletin.take_line",
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -355,11 +355,19 @@
     return table(head, body) if body else "No file yet."
 
 
+FOUND = "found-"
+
+
+def fitted(results: Mapping[str, Results]) -> list[Sample]:
+    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them."""
+    return [s for name, r in results.items() if not name.startswith(FOUND) for s in r.samples]
+
+
 def render(
     results: Mapping[str, Results], predictions: Sequence[Prediction], places: Mapping[str, str]
 ) -> dict[str, str]:
     """All tables by name."""
-    samples = [s for r in results.values() for s in r.samples]
+    samples = fitted(results)
     figures = Figures(samples)
     found = [capacity.find(row, figures) for row in rows.ROWS]
     facts = [rates.reckon(fact, figures) for fact in rates.FACTS]
