--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -183,6 +183,18 @@
 BRAIN = "whintrail/brain.py:Gateway."
 
 ROWS: tuple[Row, ...] = (
+    Row(
+        "statements",
+        DATA,
+        "statements in, at the peak",
+        "1/s",
+        "neither",
+        lambda s: exactly(STATEMENTS * given("peak_over_mean")),
+        None,
+        "",
+        "whintrail/gateway/sessions.py:Session",
+        f"statements / gateways x peak {given('peak_over_mean'):g}",
+    ),
     Row(
         "choose_cpu",
         DATA,
@@ -667,6 +679,18 @@
         BRAIN + "_cold_room",
         "cold_part",
     ),
+    Row(
+        "engine_statements",
+        ENGINE,
+        "statements, in the mean",
+        "1/s",
+        "neither",
+        lambda s: exactly(given("statements_per_s") / given("engines")),
+        None,
+        "",
+        "",
+        "statements / engines",
+    ),
     Row(
         "engine_links",
         ENGINE,
@@ -703,6 +727,18 @@
         "whintrail/fleet/council.py:Council._beat",
         "5/s in, 5/s out, and one each way an entry",
     ),
+    Row(
+        "council_cpu",
+        MEMBER,
+        "a member of the council, hollow",
+        "share",
+        "gateways",
+        lambda s: s.measured("control_cpu_share", "gateways", kind="hollow", role="control machine"),
+        CORE,
+        CORE_NAME,
+        "whintrail/fleet/council.py:Council",
+        "control_cpu_share of a member of the council",
+    ),
     Row(
         "leader_cpu",
         LEADER,
@@ -740,6 +776,35 @@
         "whintrail/gateway/fleet.py:FleetPart.engines",
         f"leader_engines_us x {given('turns_per_s'):g}/s",
     ),
+    Row(
+        "leader_sum",
+        LEADER,
+        "both of these",
+        "share",
+        "both",
+        lambda s: (
+            s.measured("node_cpu_share", "gateways", role="leader")
+            + share(s.measured("leader_engines_us", "engines", role="leader"), given("turns_per_s"))
+        ),
+        CORE,
+        CORE_NAME,
+        "whintrail/gateway/fleet.py:FleetPart.engines",
+        "its node + all engines gathered",
+        "some lines: engines gathered when a list event comes",
+        True,
+    ),
+    Row(
+        "leader_memory",
+        LEADER,
+        "its node's state",
+        "bytes",
+        "gateways",
+        lambda s: s.measured("node_bytes", "gateways", role="leader"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/fleet/leader.py:Leader",
+        "node_bytes of the leader",
+    ),
     Row(
         "lease_answered",
         LEADER,
