--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -60,6 +60,8 @@
         return f"{number(value / 1024)} KB"
     if unit == "bytes/s" and abs(value) >= 1e4:
         return f"{number(value / 1024)} KB/s"
+    if unit == "1/s":
+        return f"{number(value)}/s"
     return number(value) if unit == "count" else f"{number(value)} {unit}"
 
 
@@ -132,7 +134,7 @@
         f"`{places.get(row.place, row.place)}`"
         if row.place
         else "not ours"
-        if row.role == rows.BULLETIN
+        if row.role in (rows.BULLETIN, rows.ENGINE)
         else ""
     )
     if row.mend and found.passed:
