--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -107,7 +107,7 @@
                     gateways=round(gateways),
                     engines=round(engines),
                     value=float(f"{value.value:.6g}"),
-                    low=float(f"{value.low:.6g}"),
+                    low=float(f"{tables.beside(value.low, value.value):.6g}"),
                     high=float(f"{value.high:.6g}"),
                     n=1,
                     kind="reckoned",
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -51,6 +51,11 @@
     return f"{rounded:,.{max(0, places)}f}" if places > 0 else f"{rounded:,.0f}"
 
 
+def beside(value: float, scale: float) -> float:
+    """0 for what is nothing beside the scale: rounding of the fit, which differs from machine to machine."""
+    return 0.0 if abs(value) < 1e-6 * abs(scale) else value
+
+
 def quantity(value: float, unit: str) -> str:
     if unit == "share":
         return f"{number(100 * value)}%"
@@ -69,7 +74,8 @@
     text = quantity(found.value, unit)
     if found.high - found.low <= 1e-9 * abs(found.value):
         return text
-    return f"{text} ({quantity(found.low, unit)} to {quantity(found.high, unit)})"
+    low, high = beside(found.low, found.value), beside(found.high, found.value)
+    return f"{text} ({quantity(low, unit)} to {quantity(high, unit)})"
 
 
 def told(value: Estimate | None, missing: str, unit: str, used: Sequence[Use], figures: Figures) -> str:
@@ -113,7 +119,8 @@
 
 def slope_of(fit: Fit) -> str:
     each = f"{fit.unit} {'an engine' if fit.grows_with == 'engines' else 'a gateway'}"
-    return f"{number(fit.slope)} +- {number(fit.slope_error)} {each}"
+    slope, error = beside(fit.slope, fit.slope_error), beside(fit.slope_error, fit.slope)
+    return f"{number(slope)} +- {number(error)} {each}"
 
 
 def sizes_of(fit: Fit) -> str:
@@ -176,11 +183,11 @@
             body.append((use.quantity, _of(use), NOT_MEASURED, NONE, NONE, NONE, NONE))
             continue
         exponent = (
-            f"{number(fit.exponent)} +- {number(fit.exponent_error)}"
+            f"{number(fit.exponent)} +- {number(beside(fit.exponent_error, fit.exponent))}"
             if fit.exponent == fit.exponent
             else NONE
         )
-        worst = f"{number(100 * fit.worst)}%"
+        worst = f"{number(100 * beside(fit.worst, 1.0))}%"
         body.append((use.quantity, _of(use), slope_of(fit), fit.form, exponent, worst, sizes_of(fit)))
     return table(head, body)
 
