--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -11,9 +11,11 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from enum import IntEnum
+from heapq import heapify, heappop, heappush, merge
 from random import Random
 
 from whintrail.fleet.wire import Ack, Leaving, Message, Nack, Note, Ping, PingAsk, Update
@@ -31,6 +33,9 @@
     GONE = 3
 
 
+LIVES = tuple(Life)  # by what travels
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """How fast and how patient. Microseconds and counts."""
@@ -58,7 +63,7 @@
     birth: int = 0  # 0: never heard of
     since: int = 0
     suspect_until: int = 0
-    suspectors: set[int] = field(default_factory=set)
+    suspectors: tuple[int, ...] = ()
     asked_at: int = 0  # directly, in the last periods of a suspicion
 
 
@@ -78,6 +83,105 @@
 Change = tuple[int, Life, Life]  # member, before, now
 
 
+class ByLife:
+    """Numbers of members by what is held of them, each list in order.
+
+    Kept in step, so that a turn in which nothing is due costs the same in a fleet of any size."""
+
+    def __init__(self, count: int, life: Life = Life.GONE) -> None:
+        """At first all are of one kind."""
+        self.numbers: dict[Life, list[int]] = {each: [] for each in Life}
+        self.numbers[life] = list(range(count))
+
+    def move(self, number: int, before: Life, life: Life) -> None:
+        if life is not before:
+            numbers = self.numbers[before]
+            del numbers[bisect_left(numbers, number)]
+            insort(self.numbers[life], number)
+
+    def __getitem__(self, life: Life) -> Sequence[int]:
+        return self.numbers[life]
+
+
+class Without(Sequence[int]):
+    """Ordered numbers but for a few, without a copy of them."""
+
+    def __init__(self, numbers: Sequence[int], *left_out: int) -> None:
+        self.numbers = numbers
+        self.left_out = [
+            place
+            for number in sorted(set(left_out))
+            if (place := bisect_left(numbers, number)) < len(numbers) and numbers[place] == number
+        ]
+
+    def __len__(self) -> int:
+        return len(self.numbers) - len(self.left_out)
+
+    def __getitem__(self, place: int) -> int:  # type: ignore[override]
+        for gap in self.left_out:
+            place += place >= gap
+        return self.numbers[place]
+
+    def __contains__(self, number: object) -> bool:
+        if not isinstance(number, int):
+            return False
+        place = bisect_left(self.numbers, number)
+        return place < len(self.numbers) and self.numbers[place] == number and place not in self.left_out
+
+
+class News:
+    """Members of whom to tell, what was told least first; of equals, who has been news for longer.
+
+    A heap whose outdated places are passed over: after a start every member is news, and to order them all
+    for each datagram would cost a fleet the square of its size."""
+
+    def __init__(self) -> None:
+        self.told: dict[int, tuple[int, int]] = {}  # how often, and the order in which it became news
+        self.heap: list[tuple[int, int, int]] = []
+        self.became = 0
+
+    def __contains__(self, number: int) -> bool:
+        return number in self.told
+
+    def __len__(self) -> int:
+        return len(self.told)
+
+    def put(self, number: int) -> None:
+        """Something new of a member: it has been told to nobody."""
+        if (held := self.told.get(number)) is None:
+            self.became += 1
+            self._place(number, 0, self.became)
+        elif held[0]:
+            self._place(number, 0, held[1])
+
+    def _place(self, number: int, times: int, became: int) -> None:
+        self.told[number] = (times, became)
+        heappush(self.heap, (times, became, number))
+        if len(self.heap) > 4 * len(self.told) + 64:
+            self.heap = [(*held, number) for number, held in self.told.items()]
+            heapify(self.heap)
+
+    def least(self, most: int) -> list[int]:
+        """Of so many at most; they stay."""
+        found: list[tuple[int, int, int]] = []
+        while self.heap and len(found) < most:
+            first = heappop(self.heap)
+            if self.told.get(first[2]) == first[:2] and first not in found[-1:]:
+                found.append(first)
+        for place in found:
+            heappush(self.heap, place)
+        return [number for _, _, number in found]
+
+    def tell(self, number: int, most: int) -> None:
+        """Once more; after so many times it is news no more."""
+        if (held := self.told.get(number)) is None:
+            return
+        if held[0] + 1 >= most:
+            del self.told[number]
+        else:
+            self._place(number, held[0] + 1, held[1])
+
+
 class Membership:
     """Give it what comes and `tick` it; take `out` (target, message) and `changes`."""
 
@@ -95,12 +199,16 @@
         self.me, self.birth, self.random, self.pace = me, birth, random, pace or Pace()
         self.note = note or (lambda: Note((0, 0, 0), 0, -1, 0))
         self.members = [Member(number) for number in range(count)]
+        self.by_life = ByLife(count)
         self.mine = self.members[me]
-        self.mine.life, self.mine.birth, self.mine.since = Life.ALIVE, birth, now
+        self._turn(self.mine, Life.ALIVE)
+        self.mine.birth, self.mine.since = birth, now
         self.mine.incarnation = max(1, incarnation & MOST_INCARNATION)
         self.out: list[tuple[int, Message]] = []
         self.changes: list[Change] = []
-        self.news: dict[int, int] = {me: 0}  # members of whom to tell, and how often it was told
+        self.news = News()
+        self.news.put(me)
+        self.most_told = math.ceil(self.pace.retell * max(1.0, math.log10(count + 1)))
         self.probes: dict[int, Probe] = {}
         self.seq, self.slow = random.getrandbits(31), 0
         self.order = [number for number in range(count) if number != me]  # at first all, known or not
@@ -116,7 +224,17 @@
         return self.members[number].life is Life.ALIVE
 
     def count(self, life: Life) -> int:
-        return sum(member.life is life for member in self.members)
+        return len(self.by_life[life])
+
+    def others(self) -> Sequence[int]:
+        """Who is alive but for us, in order."""
+        return Without(self.by_life[Life.ALIVE], self.me)
+
+    def assume(self, known: Iterable[tuple[int, int]]) -> None:
+        """As if all had long been known: birth and incarnation of each, in the order of their numbers."""
+        for member, (birth, incarnation) in zip(self.members, known, strict=True):
+            member.life, member.birth, member.incarnation = Life.ALIVE, birth, incarnation
+        self.by_life = ByLife(len(self.members), Life.ALIVE)
 
     # --- In.
 
@@ -182,7 +300,8 @@
                 self._learn(now, origin, update)
 
     def _learn(self, now: int, origin: int, update: Update) -> None:
-        number, life, incarnation, birth = update.number, Life(update.state), update.incarnation, update.birth
+        number, life = update.number, LIVES[update.state]
+        incarnation, birth = update.incarnation, update.birth
         if birth == 0:
             return
         member = self.members[number]
@@ -190,7 +309,7 @@
             other = birth != self.birth and incarnation >= member.incarnation
             if other or (birth == self.birth and life > member.life and incarnation >= member.incarnation):
                 member.incarnation = min(incarnation + 1, MOST_INCARNATION)
-                self.news[number] = 0
+                self.news.put(number)
                 self.refuted += 1
                 if not other and self.pace.lifeguard:
                     self._slower()  # we were taken for dead: we may be the slow one
@@ -217,20 +336,26 @@
 
     # --- States.
 
+    def _turn(self, member: Member, life: Life) -> None:
+        """The one place at which a member's life changes."""
+        self.by_life.move(member.number, member.life, life)
+        member.life = life
+
     def _set(
         self, now: int, member: Member, life: Life, incarnation: int, birth: int, origin: int = -1
     ) -> None:
         before, fresh = member.life, birth != member.birth
-        member.life, member.incarnation, member.birth, member.since = life, incarnation, birth, now
-        member.suspectors.clear()
+        self._turn(member, life)
+        member.incarnation, member.birth, member.since = incarnation, birth, now
+        member.suspectors = ()
         if life is Life.SUSPECT:
-            member.suspectors.add(origin)
+            member.suspectors = (origin,)
             member.suspect_until = now + self._suspicion_us(1)
         if life is Life.GONE and before is not Life.GONE:
             self.removals += 1
         if life is not before or fresh:
             self.changes.append((member.number, before, life))
-        self.news[member.number] = 0
+        self.news.put(member.number)
 
     def _least_us(self) -> float:
         scale = max(1.0, math.log10(max(1, len(self.members))))
@@ -248,11 +373,11 @@
     def _confirm(self, now: int, member: Member, origin: int) -> None:
         if origin in member.suspectors or len(member.suspectors) > self.pace.confirmations:
             return
-        member.suspectors.add(origin)
+        member.suspectors += (origin,)
         member.suspect_until = min(
             member.suspect_until, member.since + self._suspicion_us(len(member.suspectors))
         )
-        self.news[member.number] = 0
+        self.news.put(member.number)
 
     def _slower(self, by: int = 1) -> None:
         if self.pace.lifeguard:
@@ -267,15 +392,13 @@
         if late > self.pace.paused_us:
             self.probes.clear()
             self._slower(self.pace.most_slow)
-            for member in self.members:
-                if member.life is Life.SUSPECT:
-                    member.suspect_until += late
+            for number in self.by_life[Life.SUSPECT]:
+                self.members[number].suspect_until += late
             self.next_at = now
         for seq, probe in list(self.probes.items()):
             self._overdue(now, seq, probe)
-        for member in self.members:
-            if member.life is not Life.SUSPECT:
-                continue
+        for number in tuple(self.by_life[Life.SUSPECT]):
+            member = self.members[number]
             if now >= member.suspect_until:
                 self._set(now, member, Life.GONE, member.incarnation, member.birth)
             elif now >= member.suspect_until - self.pace.asks * self.pace.ask_us:
@@ -288,8 +411,7 @@
             self._next(now)
         if now >= self.lost_at + self.pace.lost_every_us:
             self.lost_at = now
-            lost = [m.number for m in self.members if m.life is Life.GONE and m.number != self.me]
-            if lost:
+            if lost := self.by_life[Life.GONE]:  # never we ourselves
                 self._ping(target := self.random.choice(lost), Probe(target, now, now, origin=self.me))
 
     def _next(self, now: int) -> None:
@@ -298,9 +420,8 @@
             if self.members[target].life in (Life.ALIVE, Life.SUSPECT) or not self.members[target].birth:
                 break
         else:
-            self.order = [
-                m.number for m in self.members if m.number != self.me and m.life in (Life.ALIVE, Life.SUSPECT)
-            ]
+            there = merge(self.by_life[Life.ALIVE], self.by_life[Life.SUSPECT])
+            self.order = [number for number in there if number != self.me]
             self.random.shuffle(self.order)
             if not self.order:
                 return
@@ -323,8 +444,7 @@
             return
         if now >= probe.until and not probe.helped:
             probe.helped = True
-            able = [m.number for m in self.members if m.life is Life.ALIVE]
-            able = [number for number in able if number not in (self.me, probe.target)]
+            able = Without(self.by_life[Life.ALIVE], self.me, probe.target)
             for helper in self.random.sample(able, min(self.pace.helpers, len(able))):
                 self._say(helper, PingAsk(seq, probe.target))
             if self.pace.asks:  # once more ourselves: a lost datagram is likelier than a cut way
@@ -347,8 +467,9 @@
 
     def _news(self, target: int) -> tuple[Update, ...]:
         """What is told least so far; to a suspect first of all that it is one."""
-        most = math.ceil(self.pace.retell * max(1.0, math.log10(len(self.members) + 1)))
-        chosen = sorted(self.news, key=self.news.__getitem__)[:MOST_GOSSIP]
+        if not self.news and self.members[target].life is Life.ALIVE:
+            return ()
+        chosen = self.news.least(MOST_GOSSIP)
         if self.members[target].life is not Life.ALIVE and target not in chosen and target != self.me:
             chosen = [target, *chosen[: MOST_GOSSIP - 1]]
         updates = []
@@ -356,10 +477,7 @@
             member = self.members[number]
             if member.birth:
                 updates.append(Update(number, member.life, member.incarnation, member.birth))
-            if number in self.news:
-                self.news[number] += 1
-                if self.news[number] >= most:
-                    del self.news[number]
+            self.news.tell(number, self.most_told)
         return tuple(updates)
 
     def _say(self, target: int, message: Message) -> None:
@@ -367,8 +485,8 @@
 
     def leave(self, fence: int) -> None:
         """We end: told to a few, who tell the rest."""
-        self.mine.life = Life.LEAVING
-        self.news[self.me] = 0
-        able = [m.number for m in self.members if m.life is Life.ALIVE and m.number != self.me]
+        self._turn(self.mine, Life.LEAVING)
+        self.news.put(self.me)
+        able = self.others()
         for target in self.random.sample(able, min(6, len(able))):
             self._say(target, Leaving(fence))
--- /dev/null
+++ b/whintrail/scale/real.py
@@ -0,0 +1,345 @@
+"""Real gateways alone before hollow servers.
+
+    python -m whintrail.scale.real --to docs/capacity/run-real.json
+
+For each length of the list: start, standing idle, under load, changes of the list one by one, the whole list
+at once, as many queries as one does, and memory a client connection.
+"""
+
+import asyncio
+import re
+import shlex
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+import msgspec
+from msgspec import Struct, structs
+
+from whintrail.gateway.limits import MEGABYTE
+from whintrail.scale import bulletin, engines, load
+from whintrail.scale.measure import Delays, read_process
+from whintrail.scale.procs import BoundError, Child, Group
+from whintrail.scale.results import Sample, sample, save, this_machine
+from whintrail.standins.load import LoadClient
+from whintrail.standins.scripted import listener
+
+ENGINES_A_PROCESS = 4000
+Command = TypeVar("Command", bound=Callable[..., Any])
+EVENTS = re.compile(r"event=bulletin\b.*?\bevents=(\d+)")
+
+
+def free_ports(count: int) -> list[int]:
+    socks = [listener() for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Site:
+    """Hollow servers and real gateways of one size, all of them started."""
+
+    def __init__(
+        self, group: Group, count: int, gateways: int, sockets: int, operator: dict[str, Any] | None = None
+    ) -> None:
+        """`operator`: what the gateways' operator's file holds; None: they have none."""
+        self.group, self.count, self.sockets, self.operator = group, count, sockets, operator
+        self.ports = free_ports(gateways)
+        self.gateways: list[Child] = []
+        self.events = [1] * gateways  # of the bulletin, that each was seen to hold
+        self.ready_s: list[float] = []
+
+    async def start(self) -> None:
+        group, parts = self.group, []
+        self.engines = []
+        for first in range(0, self.count, ENGINES_A_PROCESS):
+            config = {"first": first, "count": min(ENGINES_A_PROCESS, self.count - first), "seed": first + 1}
+            child, part = await group.start(f"engines{first}", "engine", "whintrail.scale.engines", config)
+            self.engines.append(child)
+            parts.append(tuple(part))
+        self.engine_ports = {port for *_, port in parts}
+        entries = engines.entries(parts)
+        self.bulletin, told = await group.start(
+            "bulletin", "bulletin", "whintrail.scale.bulletin", {"entries": entries}
+        )
+        self.line_bytes, known = int(told["line_bytes"]), bulletin.known(entries)
+        self.clients, _ = await group.start("clients", "client", "whintrail.scale.load", {"seed": 1})
+        self.pinger, _ = await group.start("pinger", "client", "whintrail.scale.load", {"seed": 2})
+        for number, port in enumerate(self.ports):
+            listen = f"127.0.0.1:{port}"
+            config = load.gateway_config(number, listen, told["where"], known, sockets=self.sockets)
+            began = time.monotonic()
+            self.gateways.append(await group.start_gateway(f"n{number}", config, self.operator))
+            if not all(await self.clients.ask("serves", ports=[port], tries=600)):
+                raise BoundError(f"n{number} does not serve: see its log")
+            self.ready_s.append(time.monotonic() - began)
+
+    async def applied(self, number: int, events: int, published: float, patience_s: float) -> float | None:
+        """Seconds from publishing until a gateway holds so many events and has answered an empty query after;
+        None if it doesn't within the patience. It is asked for its counters (SIGUSR1) each 10 ms."""
+        child, client = self.gateways[number], LoadClient(self.ports[number])
+        place = child.log.stat().st_size
+        try:
+            while time.monotonic() - published < patience_s:
+                child.signal(signal.SIGUSR1)
+                await asyncio.sleep(0.01)
+                with open(child.log, "rb") as file:
+                    file.seek(place)
+                    seen = [int(text) for text in EVENTS.findall(file.read().decode())]
+                if seen and max(seen) >= events:
+                    await client.ask("")
+                    return time.monotonic() - published
+            return None
+        finally:
+            client.close()
+
+    async def publish(self, do: str, patience_s: float, **fields: Any) -> list[float | None]:
+        """Publish an event; for each gateway, the seconds until it holds it."""
+        answer = await self.bulletin.ask(do, **fields)
+        number = answer["no"] if isinstance(answer, dict) else answer
+        at = (await self.bulletin.ask("times", after=number - 1))[str(number)]
+        wanted = [events + 1 for events in self.events]
+        waits = (self.applied(n, wanted[n], at, patience_s) for n in range(len(self.gateways)))
+        found = await asyncio.gather(*waits)
+        self.events = [w if f is not None else e for w, f, e in zip(wanted, found, self.events, strict=True)]
+        return list(found)
+
+
+class Measure:
+    def __init__(self, site: Site, rate: float, seconds: float, subset: int) -> None:
+        self.site, self.rate, self.seconds, self.subset = site, rate, seconds, subset
+        self.sizes = len(site.ports), site.count
+        self.taken: list[Sample] = []
+
+    def note(self, quantity: str, unit: str, values: Sequence[float], note: str = "", **more: Any) -> None:
+        if not values:
+            return
+        one = sample(quantity, unit, self.sizes, list(values), "real")
+        self.add(structs.replace(one, note=note, **more))
+
+    def add(self, one: Sample) -> None:
+        self.taken.append(structs.replace(one, subset=self.subset))
+        click.echo(f"  {one.quantity} {one.value:.6g} {one.unit} {one.note}", err=True)
+
+    async def idle(self) -> None:
+        site = self.site
+        await asyncio.sleep(2.0)  # what starting left behind
+        before = [read_process(child.pid) for child in site.gateways]
+        await asyncio.sleep(self.seconds)
+        after = [read_process(child.pid) for child in site.gateways]
+        shares = [(b.cpu_s - a.cpu_s) / (b.at_s - a.at_s) for a, b in zip(before, after, strict=True)]
+        self.note("ready_s", "s", site.ready_s, "from its start, whole list in the configuration")
+        self.note("idle_cpu_share", "share", shares, "no queries, probes as the module wants them")
+        self.note("rss_bytes", "bytes", [r.rss_bytes for r in after], "idle")
+        self.note("list_line_bytes", "bytes", [site.line_bytes], role="bulletin")
+
+    async def load(self, repeats: int) -> None:
+        """At the rate and at twice the rate by turns; what one more query costs is in the difference."""
+        site, delays, ends = self.site, Delays(), Counter[str]()
+        per_query: list[float] = []
+        marginal: list[float] = []
+        shares: list[float] = []
+        probes: list[float] = []
+        for _ in range(repeats):
+            one = await self._loaded(self.rate)
+            two = await self._loaded(2 * self.rate)
+            delays.histogram.decode_and_add(one["delays"].encode())
+            ends += Counter(one["ends"])
+            shares += one["shares"]
+            probes.append(one["probes_per_s"])
+            if served := one["served_per_s"]:
+                per_query.append(sum(one["shares"]) / served * 1e6)
+            if two["served_per_s"] > one["served_per_s"]:
+                more = sum(two["shares"]) - sum(one["shares"])
+                marginal.append(more / (two["served_per_s"] - one["served_per_s"]) * 1e6)
+        note, served = f"at {self.rate:.0f}/s a gateway", ends["served"]
+        self.note("query_cpu_us", "us", per_query, f"{note}, control work in it")
+        self.note("query_marginal_cpu_us", "us", marginal, f"from {self.rate:.0f} to {2 * self.rate:.0f}/s")
+        if served:
+            self.add(delays.sample("query_p99_ms", "ms", self.sizes, "real", at=0.99, note=note))
+            self.add(delays.sample("query_p50_ms", "ms", self.sizes, "real", note=note))
+        self.note("load_cpu_share", "share", shares, note)
+        counted = ", ".join(f"{end} {count}" for end, count in sorted(ends.items()))
+        self.note("not_served_share", "share", [1 - served / max(1, ends.total())], f"{note}: {counted}")
+        links = [float(load.connections_to(child.pid, site.engine_ports)) for child in site.gateways]
+        self.note("connections", "count", links, f"to engines, {site.sockets} descriptors allowed")
+        self.note("probes_per_s", "count", probes, f"{note}, by gateway")
+        after = [read_process(child.pid) for child in site.gateways]
+        self.note("descriptors", "count", [r.descriptors for r in after], note)
+        self.note("rss_bytes", "bytes", [r.rss_bytes for r in after], note)
+
+    async def _loaded(self, rate: float) -> dict[str, Any]:
+        site, probes = self.site, await self._probes()
+        before = [read_process(child.pid) for child in site.gateways]
+        patience = self.seconds + 30
+        told: dict[str, Any] = await site.clients.ask(
+            "load", ports=site.ports, rate=rate, seconds=self.seconds, timeout_s=patience
+        )
+        after = [read_process(child.pid) for child in site.gateways]
+        passed = after[0].at_s - before[0].at_s
+        shares = [(b.cpu_s - a.cpu_s) / (b.at_s - a.at_s) for a, b in zip(before, after, strict=True)]
+        return {
+            **told,
+            "shares": shares,
+            "served_per_s": told["ends"].get("served", 0) / passed,
+            "probes_per_s": (await self._probes() - probes) / passed / len(site.ports),
+        }
+
+    async def _probes(self) -> int:
+        return sum([int((await child.ask("counts"))["probes"]) for child in self.site.engines])
+
+    async def lists(self, deltas: int, wholes: int) -> None:
+        site = self.site
+        await site.pinger.ask("ping", ports=site.ports, every_s=0.01)
+        await asyncio.sleep(1.0)
+        quiet = await site.pinger.ask("stalls")
+        self.note("loop_stall_ms", "ms", [quiet["longest_s"] * 1e3], "an empty query's longest answer, idle")
+        for do, count, name in (("change", deltas, "one entry"), ("whole", wholes, "whole list")):
+            found: list[float] = []
+            stalls: list[float] = []
+            lost = 0
+            for _ in range(count):
+                each = await site.publish(do, patience_s=10.0 if site.line_bytes < MEGABYTE else 4.0)
+                found += [seconds for seconds in each if seconds is not None]
+                lost += sum(seconds is None for seconds in each)
+                await asyncio.sleep(0.2)
+                stalls.append((await site.pinger.ask("stalls"))["longest_s"] * 1e3)
+            self.note("list_apply_s", "s", found, name)
+            self.note("loop_stall_ms", "ms", stalls, f"an empty query's longest answer, {name}")
+            self.note("list_lost", "count", [float(lost)], f"{name}: not had in time, of {count} each")
+        if lost:
+            await self.refused()
+        await site.pinger.ask("ping", ports=[])
+
+    async def refused(self) -> None:
+        """The whole list is over the gateway's bound: what is asked for again, and what that costs."""
+        site = self.site
+        before = await site.bulletin.ask("state")
+        cpu = [read_process(child.pid) for child in site.gateways]
+        change = await site.publish("change", patience_s=4.0)
+        after = await site.bulletin.ask("state")
+        passed = read_process(site.gateways[0].pid).at_s - cpu[0].at_s
+        used = [
+            (read_process(c.pid).cpu_s - r.cpu_s) / passed for c, r in zip(site.gateways, cpu, strict=True)
+        ]
+        each, note = passed * len(site.ports), "after a whole list over the bound"
+        self.note("bulletin_asked_per_s", "count", [(after["asked"] - before["asked"]) / each], note)
+        self.note("list_bytes_in_per_s", "bytes/s", [(after["bytes_out"] - before["bytes_out"]) / each], note)
+        self.note("idle_cpu_share", "share", used, note)
+        self.note("list_lost", "count", [float(change.count(None))], f"one entry {note}, of {len(change)}")
+
+    async def most(self, sessions: int) -> None:
+        site = self.site
+        before = read_process(site.gateways[0].pid)
+        asked = {"port": site.ports[0], "sessions": sessions // 2, "seconds": self.seconds}
+        patience = self.seconds + 30
+        halves = (child.ask("most", timeout_s=patience, **asked) for child in (site.clients, site.pinger))
+        told = await asyncio.gather(*halves)
+        after = read_process(site.gateways[0].pid)
+        share = (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
+        ends = sum((Counter[str](half["ends"]) for half in told), Counter[str]())
+        note = f"one gateway, {sessions} sessions, {share:.2f} of a core"
+        note += f", {ends['served']} of {ends.total()} served"
+        self.note("queries_per_s", "count", [ends["served"] / max(half["took_s"] for half in told)], note)
+
+    async def sessions(self, count: int) -> None:
+        site, rss = self.site, []
+        for _ in range(4):
+            rss.append(read_process(site.gateways[0].pid).rss_bytes)
+            await site.clients.ask("hold", port=site.ports[0], sessions=count // 4, timeout_s=120)
+            await asyncio.sleep(0.5)
+        rss.append(read_process(site.gateways[0].pid).rss_bytes)
+        whole = (rss[-1] - rss[0]) / (count // 4 * 4)
+        self.note("memory_a_connection_bytes", "bytes", [whole], f"{count} idle sessions at one gateway")
+        await site.clients.ask("release")
+
+
+class Asked(Struct, frozen=True, kw_only=True):
+    """What to measure."""
+
+    sizes: tuple[int, ...]  # engines on the list
+    gateways: int
+    rate: float
+    phase_seconds: float
+    repeats: int
+    descriptors: int
+    sessions: int
+    operator: dict[str, Any] | None
+    subset: int
+
+
+async def measure(folder: Path, asked: Asked, memory_mb: float, seconds: float) -> tuple[list[Sample], str]:
+    """Size by size; where a bound is passed, what was taken until then, and the line that tells it."""
+    taken: list[Sample] = []
+    ends = time.monotonic() + seconds
+    for count in asked.sizes:
+        click.echo(f"{count} engines, {asked.gateways} gateways", err=True)
+        async with Group(folder / str(count), memory_mb, ends - time.monotonic()) as group:
+            site = Site(group, count, asked.gateways, asked.descriptors, asked.operator)
+            one = Measure(site, asked.rate, asked.phase_seconds, asked.subset)
+
+            async def work(site: Site = site, one: Measure = one) -> None:
+                await site.start()
+                await one.idle()
+                await one.load(asked.repeats)
+                await one.lists(deltas=10, wholes=3)
+                await one.most(sessions=128)
+                await one.sessions(asked.sessions)
+
+            try:
+                await group.within(work())
+            except BoundError as error:
+                return taken, f"ended at {count} engines: {error}"
+            finally:
+                taken.extend(one.taken)
+    return taken, ""
+
+
+def bound_option(name: str, default: float, text: str) -> Callable[[Command], Command]:
+    return click.option(name, type=click.FloatRange(min=0.01), default=default, show_default=True, help=text)
+
+
+@click.command()
+@click.option("--engines", "sizes", multiple=True, type=click.IntRange(1, 15_000), help="Once for each size.")
+@click.option("--gateways", type=click.IntRange(1, 20), default=2, show_default=True)
+@click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True, help="Of the load.")
+@click.option("--descriptors", type=click.IntRange(64, 16_000), default=1024, show_default=True)
+@click.option("--sessions", type=click.IntRange(4, 7000), default=400, show_default=True, help="Idle ones.")
+@click.option("--file", "file", type=click.Path(path_type=Path), help="The gateways' operator's file, JSON.")
+@click.option("--subset", type=int, default=0, help="How many engines each keeps by that file.")
+@bound_option("--rate", 100.0, "Queries a second a gateway.")
+@bound_option("--phase-seconds", 5.0, "Of each phase of measuring.")
+@bound_option("--seconds", 900.0, "End by itself after so long.")
+@bound_option("--memory-mb", 6000.0, "End by itself over so much.")
+@click.option("--to", type=click.Path(path_type=Path, dir_okay=False), help="The file of results.")
+def real(
+    sizes: tuple[int, ...],
+    file: Path | None,
+    to: Path | None,
+    seconds: float,
+    memory_mb: float,
+    **given: Any,
+) -> None:
+    """Measure real gateways alone before hollow engines and a hollow bulletin."""
+    began, machine = time.time(), this_machine()
+    operator = None if file is None else msgspec.json.decode(file.read_bytes(), type=dict[str, Any])
+    asked = Asked(sizes=sizes or (80, 1000, 4000, 7000, 15_000), operator=operator, **given)
+    with tempfile.TemporaryDirectory(prefix="whintrail-scale-") as folder:
+        taken, ended = asyncio.run(measure(Path(folder), asked, memory_mb, seconds))
+    if to is not None:
+        command = "python -m whintrail.scale.real " + shlex.join(sys.argv[1:])
+        note = "hollow: engines and bulletin; their processes share the machine's cores with the gateways"
+        save(to, command, began, machine, taken, f"{note}; {ended}" if ended else note)
+    if ended:
+        raise click.ClickException(ended)
+
+
+if __name__ == "__main__":
+    real()
--- a/whintrail/scale/slopes_module.py
+++ b/whintrail/scale/slopes_module.py
@@ -23,10 +23,10 @@
 from whintrail.gateway.owner import Inbox, Listed
 from whintrail.scale.deployment import SECOND, Deployment
 from whintrail.scale.results import Sample, sample
-from whintrail.scale.timing import Bound, cpu_us, held_bytes
+from whintrail.scale.timing import Bench, cpu_us, held_bytes
 from whintrail.versions.lists import Lists
 
-Keep = Callable[[api.EngineList], api.EngineList]  # what of a list reaches the module
+Keep = Callable[[api.EngineList], api.EngineList | None]  # what of a list reaches the module; None: nothing
 SWEEPS = 4  # a round: one of them looks whom to probe
 # Queries by the engine: what is out at a time, and what comes between two sweeps. More would be a jam, as
 # each of the other gateways is taken to send as much.
@@ -49,12 +49,16 @@
         self.now, self.asked, self.heard_at = deployment.started_ms * 1000 + 3_600 * SECOND, 0, 0
         self.module = Gateway(deployment.settings(), 7, self.now)
         self.module.start()
-        self.tell(keep(deployment.listed(api.ListKind.CACHED)))
+        self.listed(deployment.listed(api.ListKind.CACHED))
         self.hear()
 
     def tell(self, event: api.Event) -> list[api.Action]:
         return self.module.handle(self.now, event)
 
+    def listed(self, event: api.EngineList) -> None:
+        if (kept := self.keep(event)) is not None:
+            self.tell(kept)
+
     def hear(self) -> None:
         """A fresh report of each engine, as probes bring it."""
         self.heard_at = self.now
@@ -113,7 +117,7 @@
         for name, engine in self.module.engines.items():
             if engine.probing:
                 self.tell(api.ProbeEnded(name, api.Outcome.OK, 500, api.LoadReport(0.3, 3.0)))
-        self.serve(max(1, min(MOST_SERVED, int(SERVED * self.deployment.engines))))
+        self.serve(max(1, min(MOST_SERVED, int(SERVED * len(self.module.engines)))))
         if self.now - self.heard_at > FRESH_US:
             self.hear()
 
@@ -121,7 +125,7 @@
 def module(
     deployment: Deployment,
     repeats: int,
-    bound: Bound,
+    bench: Bench,
     keep: Keep = everything,
     refresh_s: float = 0.0,
 ) -> Iterator[Sample]:
@@ -130,12 +134,13 @@
     sizes = deployment.gateways, deployment.engines
 
     def took(quantity: str, work: Callable[[], object], **more: Any) -> Sample:
-        return sample(quantity, "us", sizes, cpu_us(work, repeats, bound, **more), "core")
+        return sample(quantity, "us", sizes, cpu_us(work, repeats, bench, **more), "core")
 
     held, made = held_bytes(lambda: Alone(deployment, keep))
     yield sample("module_bytes", "bytes", sizes, [float(held)], "core")
     del made
     alone = Alone(deployment, keep)
+    kept = len(alone.module.engines)
     alone.serve(200)
     alone.pass_time(2 * FRESH_US)
 
@@ -143,15 +148,15 @@
         alone.pass_time(REFRESH_US, refresh=True)
 
     yield took("module_refresh_unused_us", alone.module._refresh, before=due, alone=True)
-    for _ in range(max(1, min(MOST_OPEN, int(OPEN * deployment.engines)))):
+    for _ in range(max(1, min(MOST_OPEN, int(OPEN * kept)))):
         alone.ask()
-        alone.pass_time(min(MOST_APART_US, APART_US // deployment.engines))
+        alone.pass_time(min(MOST_APART_US, APART_US // kept))
 
-    rounds = cpu_us(alone.sweep, max(5, repeats // 2), bound, before=alone.settle, alone=True)
+    rounds = cpu_us(alone.sweep, max(5, repeats // 2), bench, before=alone.settle, alone=True)
     yield sample("module_sweep_us", "us", sizes, [figure / SWEEPS for figure in rounds], "core")
 
     def stale() -> None:
-        alone.pass_time(min(MOST_APART_US, APART_US // deployment.engines))
+        alone.pass_time(min(MOST_APART_US, APART_US // kept))
         alone.module.sums = None
 
     latest: list[tuple[int, list[api.Action]]] = []
@@ -176,12 +181,12 @@
     yield took("module_choose_us", choose, before=arrived, alone=True)
     yield took("module_ended_us", lambda: alone.end(*latest[-1]), before=arrived, alone=True)
 
-    states = ["leaving", "active"]
-    entries = [api.EngineList(api.ListKind.DELTA, (deployment.entry(0, state),)) for state in states]
+    states, one = ["leaving", "active"], deployment.names().index(min(alone.module.engines))
+    entries = [api.EngineList(api.ListKind.DELTA, (deployment.entry(one, state),)) for state in states]
     deltas = iter(range(1 << 60))
-    yield took("module_list_delta_us", lambda: alone.tell(keep(entries[next(deltas) % 2])))
+    yield took("module_list_delta_us", lambda: alone.listed(entries[next(deltas) % 2]))
     whole = deployment.listed()
-    yield took("module_list_whole_us", lambda: alone.tell(keep(whole)), alone=True)
+    yield took("module_list_whole_us", lambda: alone.listed(whole), alone=True)
     told = [
         memo.encode([memo.Sighting(memo.key_of(name), 0, api.LoadReport(0.3, 4.0), 8.0)])
         for name in list(alone.module.engines)[:64]
@@ -189,35 +194,37 @@
     memos = iter(range(1 << 60))
     yield took("module_memo_us", lambda: alone.tell(api.PeerTold(1, told[next(memos) % len(told)])))
 
-    seen = cast(FleetPart, SimpleNamespace(owner=SimpleNamespace(module=alone.module), drained=frozenset()))
+    listed = {entry.engine: entry for entry in whole.entries}  # kept or not, the fleet counts them all
+    owner = SimpleNamespace(module=alone.module, listed_engines=lambda: listed)
+    seen = cast(FleetPart, SimpleNamespace(owner=owner, drained=frozenset()))
     engines = took("leader_engines_us", lambda: FleetPart.engines(seen))
     yield replace(engines, role="leader")
     if refresh_s < MOST_FIGURE_S:
         alone.pass_time(0)  # a list's event has the next refresh forget how engines fared
         alone.use_all()
-        first = cpu_us(alone.module._refresh, 1, bound, before=due, alone=True)[0]
+        first = cpu_us(alone.module._refresh, 1, bench, before=due, alone=True)[0]
         fewer = max(3, min(repeats, int(5e6 / max(1.0, first))))
-        figures = cpu_us(alone.module._refresh, fewer, bound, before=due, alone=True)
+        figures = cpu_us(alone.module._refresh, fewer, bench, before=due, alone=True)
         yield sample("module_refresh_us", "us", sizes, figures, "core")
 
 
-def reading(deployment: Deployment, repeats: int, bound: Bound) -> Iterator[Sample]:
+def reading(deployment: Deployment, repeats: int, bench: Bench) -> Iterator[Sample]:
     """What a gateway does with a line of the bulletin, besides the module: parsing, addresses, the digest."""
     sizes, log = (deployment.gateways, deployment.engines), Log("scale", 1.0, 1.0)
 
     def took(quantity: str, work: Callable[[], object], **more: Any) -> Sample:
-        return sample(quantity, "us", sizes, cpu_us(work, repeats, bound, **more), "core")
+        return sample(quantity, "us", sizes, cpu_us(work, repeats, bench, **more), "core")
 
     line = deployment.whole_line()
     yield sample("list_line_bytes", "bytes", sizes, [float(len(line))], "core")
     yield took("list_read_whole_us", lambda: read_listed(orjson.loads(line), log, False), alone=True)
     delta = deployment.line(2, [deployment.item(0, "leaving")], False)
     yield took("list_read_delta_us", lambda: read_listed(orjson.loads(delta), log, False))
-    yield from asyncio.run(_updates(deployment, repeats, bound, line, delta))
+    yield from asyncio.run(_updates(deployment, repeats, bench, line, delta))
 
 
 async def _updates(
-    deployment: Deployment, repeats: int, bound: Bound, line: bytes, delta: bytes
+    deployment: Deployment, repeats: int, bench: Bench, line: bytes, delta: bytes
 ) -> list[Sample]:
     sizes, log, limits = (deployment.gateways, deployment.engines), Log("scale", 1.0, 1.0), Limits.read({})
     links = Links(limits, Inbox(Clock()), Counters(), log, None, False)
@@ -238,7 +245,7 @@
     update(whole)
     try:
         return [
-            sample(quantity, "us", sizes, cpu_us(work, repeats, bound), "core")
+            sample(quantity, "us", sizes, cpu_us(work, repeats, bench), "core")
             for quantity, work in (
                 ("gateway_update_whole_us", lambda: update(whole)),
                 ("gateway_update_delta_us", lambda: update(one)),
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -41,7 +41,7 @@
         return self.value
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)  # each is itself: two that hold as much are not the same engine
 class Sent:
     """Threads that one engine holds of ours, or all engines together."""
 
@@ -60,6 +60,7 @@
     zone: str = ""
     cell: int = 0
     state: api.EngineState = api.EngineState.GONE
+    holders: int | None = None  # gateways that keep it; None: all
     cold_until: int = 0
     phase: float = 0.0  # our turn among the gateways while it is cold
     cold_sent: deque[tuple[int, float, "ClassState"]] = field(
