Rows of a gateway that keeps a subset, beside the way of before

Need: before and after in one table. Figures with a subset may be taken with both sizes in step; what no subset touches is taken from without one. Engines told of by nobody are reckoned: the fit over shares of 0 and 24% said nothing.

--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -11,6 +11,8 @@
 from functools import cache
 from typing import Literal
 
+from msgspec.structs import replace
+
 from whintrail.scale import inputs
 from whintrail.scale.fitting import Fit, FitError, fit
 from whintrail.scale.results import Kind, Sample
@@ -18,6 +20,17 @@
 Grows = Literal["engines", "gateways"]
 Along = Literal["engines", "gateways", "both", "neither"]
 Stat = Literal["value", "high"]
+# What no subset of engines touches: membership, agreement, and the list until it is read.
+UNTOUCHED = (
+    "membership_",
+    "node_",
+    "log_",
+    "version_",
+    "list_line_",
+    "list_read_",
+    "list_digest_",
+    "leader_",
+)
 BEYOND = 10.0  # sizes are looked through up to so many times the one that is coming
 
 
@@ -71,38 +84,32 @@
             samples = [s for s in self.samples if s.quantity == use.quantity]
             if use.stat == "high":
                 samples = [_at_high(s) for s in samples]
-            given = {
-                "kind": use.kind,
-                "role": use.role,
-                "subset": self.subset,
-                "note": use.note,
-                "day": use.day,
-            }
-            try:
-                self.fits[use] = fit(samples, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
-            except FitError:
-                self.fits[use] = None
+            self.fits[use] = self._fit(samples, use)
         if (found := self.fits[use]) is None:
             raise NotMeasured(use.quantity)
         return found
 
+    def _fit(self, samples: list[Sample], use: Use) -> Fit | None:
+        subset = self.subset
+        if subset and not any(s.subset == subset for s in samples) and use.quantity.startswith(UNTOUCHED):
+            subset = 0
+        given = {"kind": use.kind, "role": use.role, "subset": subset, "note": use.note, "day": use.day}
+        try:
+            return fit(samples, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
+        except FitError:
+            if not subset:
+                return None
+        # With a subset both sizes may have grown in step, so that a gateway's part stays as large.
+        other = "gateways" if use.grows_with == "engines" else "engines"
+        stepped = [replace(s, **{other: 0}) for s in samples]
+        try:
+            return fit(stepped, use.quantity, use.grows_with, **given)  # type: ignore[arg-type]
+        except FitError:
+            return None
+
 
 def _at_high(s: Sample) -> Sample:
-    return Sample(
-        quantity=s.quantity,
-        unit=s.unit,
-        gateways=s.gateways,
-        engines=s.engines,
-        value=s.high,
-        low=s.high,
-        high=s.high,
-        n=s.n,
-        kind=s.kind,
-        role=s.role,
-        day=s.day,
-        subset=s.subset,
-        note=s.note,
-    )
+    return replace(s, value=s.high, low=s.high)
 
 
 @dataclass(slots=True)
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -91,7 +91,7 @@
 
 
 def all_places() -> list[str]:
-    return sorted({row.place for row in rows.ROWS if row.place})
+    return sorted({row.place for row in (*rows.ROWS, *rows.SUBSET_ROWS) if row.place})
 
 
 def reckoned(results: Mapping[str, Results]) -> list[Sample]:
--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -7,7 +7,7 @@
 from whintrail.fleet.state import Propose, Settle
 from whintrail.fleet.wire import Any_, Entry, LeaseAsk, LeaseTell, Report, Told, encode
 from whintrail.interface import LoadReport
-from whintrail.scale.capacity import Estimate, Row, Size, exactly, per_s
+from whintrail.scale.capacity import Estimate, NotMeasured, Row, Size, exactly, per_s
 from whintrail.scale.inputs import value as given
 
 MB = 1 << 20
@@ -90,9 +90,12 @@
 
 
 def _memo_cpu(s: Size) -> Estimate:
-    heard = s.measured("memo_datagrams_per_s", "engines")
+    """By the sightings: memos of a subset hold several."""
+    datagrams, size = s.measured("memo_datagrams_per_s", "engines"), s.measured("memo_bytes_per_s", "engines")
     each = s.measured("module_memo_us", "engines")
-    return Estimate(*(h * us / 1e6 for h, us in zip(_three(heard), _three(each), strict=True)))
+    head = given("datagram_overhead") + memo.HEAD.size
+    parts = zip(_three(datagrams), _three(size), _three(each), strict=True)
+    return Estimate(*(max(0.0, b - head * d) / memo.ENTRY.size * us / 1e6 for d, b, us in parts))
 
 
 def _three(e: Estimate) -> tuple[float, float, float]:
@@ -117,8 +120,11 @@
 
 def _memo_bytes(s: Size) -> Estimate:
     """Heard, and told to each gateway by itself: where one address stands for all, the first alone."""
-    told = s.measured("memo_sent_datagrams_per_s", "engines")
-    return s.measured("memo_bytes_per_s", "engines") + told * MEMO
+    heard = s.measured("memo_bytes_per_s", "engines")
+    try:
+        return heard + s.measured("memo_sent_bytes_per_s", "engines")
+    except NotMeasured:  # one sighting each, where there is no subset
+        return heard + s.measured("memo_sent_datagrams_per_s", "engines") * MEMO
 
 
 def _member_bytes(s: Size) -> Estimate:
@@ -135,7 +141,8 @@
 
 
 def _memory_sum(s: Size) -> Estimate:
-    return s.measured("module_bytes", "engines") + s.measured("node_bytes", "gateways", role="gateway")
+    both = s.measured("module_bytes", "engines") + s.measured("node_bytes", "gateways", role="gateway")
+    return both + s.measured("part_bytes", "engines") if s.figures.subset else both
 
 
 def _one_after_another(s: Size) -> Estimate:
@@ -370,7 +377,7 @@
         CPU,
         CPU_NAME,
         BRAIN + "_told",
-        "memo_datagrams_per_s x module_memo_us",
+        "sightings in memo_bytes_per_s x module_memo_us",
     ),
     Row(
         "member_cpu",
@@ -470,7 +477,7 @@
         BYTES,
         BYTES_NAME,
         BRAIN + "_probed",
-        f"memo_bytes_per_s + memo_sent_datagrams_per_s x {MEMO:.0f} bytes",
+        "memo_bytes_per_s + memo_sent_bytes_per_s",
     ),
     Row(
         "member_bytes",
@@ -649,11 +656,11 @@
         "engines told of by nobody, their key shared",
         "share",
         "engines",
-        lambda s: s.measured("memo_keys_shared", "engines"),
+        lambda s: exactly(1 - (1 - 2.0**-16) ** (s.engines - 1)),
         None,
         "",
         "whintrail/fleet/memo.py:keys_of",
-        "memo_keys_shared",
+        "1 - (1 - 1/65,536)^(engines - 1)",
     ),
     Row(
         "probes",
@@ -1001,3 +1008,45 @@
         f"slot_s x {per_s('restarts_a_day'):.3f}/s",
     ),
 )
+
+# Of a gateway that keeps a subset; without one there is nothing of them.
+SUBSET_ROWS: tuple[Row, ...] = (
+    Row(
+        "part_delta_cpu",
+        CONTROL,
+        "its part kept in step with list events",
+        "share",
+        "engines",
+        lambda s: share(s.measured("part_delta_us", "engines"), CHANGES),
+        CPU,
+        CPU_NAME,
+        "whintrail/subset/part.py:Part.listed",
+        f"part_delta_us x {CHANGES:.2f}/s",
+        total=True,
+    ),
+    Row(
+        "part_start_stand",
+        DATA,
+        "a query that meets its part of a whole list waits",
+        "ms",
+        "engines",
+        lambda s: s.measured("part_start_us", "engines") * 1e-3,
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/subset/part.py:Part.listed",
+        "part_start_us, in one go",
+        total=True,
+    ),
+    Row(
+        "part_memory",
+        CONTROL,
+        "what it knows of engines that it doesn't keep",
+        "bytes",
+        "engines",
+        lambda s: s.measured("part_bytes", "engines"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/subset/part.py:Part",
+        "part_bytes",
+    ),
+)
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -11,6 +11,12 @@
 from whintrail.scale.results import Results, Sample
 
 NOT_MEASURED, NONE = "not measured", "-"
+SUBSET_CHANGES = {
+    *candidates.SUBSET.carries,
+    *candidates.SUBSET.in_part,
+    *(row.key for row in rows.SUBSET_ROWS),
+    *("memo_datagrams", "probes", "hollow_cpu_fleet", "hollow_bytes"),
+}
 
 
 class Prediction(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -84,8 +90,11 @@
         return f"{NOT_MEASURED}: {missing}"
     text = ranged(value, unit)
     for use in used:
-        most, size = max(figures.fit(use).sizes), capacity.coming()[1 if use.grows_with == "engines" else 0]
-        if most < size:
+        try:
+            most = max(figures.fit(use).sizes)
+        except capacity.NotMeasured:  # another was taken in its place
+            continue
+        if most < capacity.coming()[1 if use.grows_with == "engines" else 0]:
             text += f"; foretold: {use.quantity} was taken up to {most:,} {use.grows_with}"
     return text
 
@@ -306,24 +315,21 @@
 def subsets(samples: Sequence[Sample]) -> str:
     """Rows that were measured with a subset on, beside the way of before."""
     sizes = sorted({s.subset for s in samples if s.subset})
-    head = (
-        "row",
-        "unit",
-        "without, at 4,000 and 15,000",
-        "passed at",
-        *[t for k in sizes for t in (f"keeping {k}", "passed at")],
-    )
-    plain = Figures(samples)
-    body = []
-    for row in rows.ROWS:
-        before = capacity.find(row, plain)
-        after = [capacity.find(row, Figures(samples, subset=k)) for k in sizes]
-        if not before.used or before.value is None or all(f.value is None for f in after):
+    kept = [Figures(samples, subset=k) for k in sizes]
+    head = ["row", "budget", "all engines", "passed at"]
+    head += [cell for k in sizes for cell in (f"{k} kept", "used", "passed at")]
+    plain, body = Figures(samples), list[list[str]]()
+    for row in (*rows.ROWS, *rows.SUBSET_ROWS):
+        before, after = capacity.find(row, plain), [capacity.find(row, figures) for figures in kept]
+        if row.key not in SUBSET_CHANGES or all(f.value is None for f in after):
             continue
-        cells = [row.key, row.unit, quantity(before.value.value, row.unit), where(row.along, before.crossing)]
+        own = row in rows.SUBSET_ROWS
+        was = NONE if own or before.value is None else quantity(before.value.value, row.unit)
+        cells = [row.key, row.budget_name or NONE, was, NONE if own else where(row.along, before.crossing)]
         for f in after:
             cells += [
-                quantity(f.value.value, row.unit) if f.value else NOT_MEASURED,
+                ranged(f.value, row.unit) if f.value else f"{NOT_MEASURED}: {f.missing}",
+                f"{number(100 * f.share)}%" if f.share is not None else NONE,
                 where(row.along, f.crossing),
             ]
         body.append(cells)
