--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -317,3 +317,24 @@
     several = line("memo_datagrams_per_s", 0.0, 10.0) + line("memo_bytes_per_s", 0.0, 10 * (31 + 7 * 5.0))
     found = capacity.find(row("memo_cpu"), Figures(several + line("module_memo_us", 0.0, 8.0)))
     assert value_of(found).value == pytest.approx(10 * 5 * 8 / 1e6)
+
+
+def test_files_of_before_stand_beside_those_of_now_and_are_in_no_fit(tmp_path: Path) -> None:
+    results(
+        tmp_path, "before-x.json", line("module_refresh_us", 35.0) + line("module_memo_us", 0.0, 8.0), 0.0
+    )
+    results(tmp_path, "x.json", line("module_refresh_us", 3.5) + line("module_memo_us", 0.0, 8.0), 1.0)
+    uses = [capacity.Use("module_refresh_us", "engines"), capacity.Use("module_memo_us", "engines")]
+    text = tables.mendings(read_results(tmp_path), uses)
+    assert (
+        "| module_refresh_us | gateway | 5,000 engines | 175,000 us | linear | 17,500 us | linear |" in text
+    )
+    assert "module_memo_us" not in text
+    assert {s.value for s in tables.fitted(read_results(tmp_path)) if s.engines == 5000} == {17_500.0, 8.0}
+
+
+def test_simulated_seconds_stand_by_size_and_note() -> None:
+    samples = line("sim_cpu_s", 0.002, over="gateways", kind="simulated", note="before", unit="s")
+    text = tables.simulation(samples + [changed(s, note="after", value=0.01) for s in samples])
+    assert "| gateways | before | after |" in text and "| 800 | 1.60 s" in text
+    assert tables.simulation([]) == "not measured: sim_cpu_s"
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -370,12 +370,54 @@
     return table(head, body) if body else "No file yet."
 
 
-FOUND = "found-"
+FOUND, BEFORE = "found-", "before-"
 
 
 def fitted(results: Mapping[str, Results]) -> list[Sample]:
-    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them."""
-    return [s for name, r in results.items() if not name.startswith(FOUND) for s in r.samples]
+    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them, and
+    `before-*.json`, which were taken of a program that was mended since."""
+    return [s for name, r in results.items() if not name.startswith((FOUND, BEFORE)) for s in r.samples]
+
+
+MENDED = 1.5  # times less, at the greatest size that both have, is worth a line
+
+
+def mendings(results: Mapping[str, Results], uses: Iterable[Use]) -> str:
+    """Quantities of which `before-*.json` has others than the files of today."""
+    then = Figures([s for name, r in results.items() if name.startswith(BEFORE) for s in r.samples])
+    now, body = Figures(fitted(results)), list[list[str]]()
+    for use in uses:
+        try:
+            old, new = then.fit(use), now.fit(use)
+        except capacity.NotMeasured:
+            continue
+        common = [size for size in old.sizes if size in new.sizes]
+        if not common or old.at(common[-1])[0] < MENDED * new.at(common[-1])[0]:
+            continue
+        size = f"{common[-1]:,} {use.grows_with}"
+        was, now_is = (quantity(fit.at(common[-1])[0], fit.unit) for fit in (old, new))
+        body.append([use.quantity, _of(use), size, was, old.form, now_is, new.form])
+    if not body:
+        return "Nothing was mended between two files of results."
+    return table(("quantity", "of", "at", "before", "form", "after", "form"), body)
+
+
+def simulation(samples: Sequence[Sample]) -> str:
+    """Processor seconds of a simulated second of the whole fleet, by size."""
+    cells = {(s.gateways, s.note): s for s in samples if s.quantity == "sim_cpu_s"}
+    notes = list(dict.fromkeys(note for _, note in cells))
+    if not notes:
+        return f"{NOT_MEASURED}: sim_cpu_s"
+    body = []
+    for gateways in sorted({gateways for gateways, _ in cells}):
+        found = [cells.get((gateways, note)) for note in notes]
+        body.append(
+            [
+                f"{gateways:,}",
+                *(ranged(Estimate(s.value, s.low, s.high), s.unit) if s else NONE for s in found),
+            ]
+        )
+    return table(["gateways", *notes], body)
 
 
 def render(
@@ -397,6 +439,8 @@
         "ranking": lambda: ranking(found),
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
+        "mendings": lambda: mendings(results, uses),
+        "simulation": lambda: simulation(samples),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
     }
