--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -11,6 +11,12 @@
 from whintrail.scale.results import Results, Sample
 
 NOT_MEASURED, NONE = "not measured", "-"
+SUBSET_CHANGES = {
+    *candidates.SUBSET.carries,
+    *candidates.SUBSET.in_part,
+    *(row.key for row in rows.SUBSET_ROWS),
+    *("memo_datagrams", "probes", "hollow_cpu_fleet", "hollow_bytes"),
+}
 
 
 class Prediction(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -51,6 +57,11 @@
     return f"{rounded:,.{max(0, places)}f}" if places > 0 else f"{rounded:,.0f}"
 
 
+def beside(value: float, scale: float) -> float:
+    """0 for what is nothing beside the scale: rounding of the fit, which differs from machine to machine."""
+    return 0.0 if abs(value) < 1e-6 * abs(scale) else value
+
+
 def quantity(value: float, unit: str) -> str:
     if unit == "share":
         return f"{number(100 * value)}%"
@@ -60,6 +71,8 @@
         return f"{number(value / 1024)} KB"
     if unit == "bytes/s" and abs(value) >= 1e4:
         return f"{number(value / 1024)} KB/s"
+    if unit == "1/s":
+        return f"{number(value)}/s"
     return number(value) if unit == "count" else f"{number(value)} {unit}"
 
 
@@ -67,7 +80,8 @@
     text = quantity(found.value, unit)
     if found.high - found.low <= 1e-9 * abs(found.value):
         return text
-    return f"{text} ({quantity(found.low, unit)} to {quantity(found.high, unit)})"
+    low, high = beside(found.low, found.value), beside(found.high, found.value)
+    return f"{text} ({quantity(low, unit)} to {quantity(high, unit)})"
 
 
 def told(value: Estimate | None, missing: str, unit: str, used: Sequence[Use], figures: Figures) -> str:
@@ -76,8 +90,11 @@
         return f"{NOT_MEASURED}: {missing}"
     text = ranged(value, unit)
     for use in used:
-        most, size = max(figures.fit(use).sizes), capacity.coming()[1 if use.grows_with == "engines" else 0]
-        if most < size:
+        try:
+            most = max(figures.fit(use).sizes)
+        except capacity.NotMeasured:  # another was taken in its place
+            continue
+        if most < capacity.coming()[1 if use.grows_with == "engines" else 0]:
             text += f"; foretold: {use.quantity} was taken up to {most:,} {use.grows_with}"
     return text
 
@@ -111,7 +128,8 @@
 
 def slope_of(fit: Fit) -> str:
     each = f"{fit.unit} {'an engine' if fit.grows_with == 'engines' else 'a gateway'}"
-    return f"{number(fit.slope)} +- {number(fit.slope_error)} {each}"
+    slope, error = beside(fit.slope, fit.slope_error), beside(fit.slope_error, fit.slope)
+    return f"{number(slope)} +- {number(error)} {each}"
 
 
 def sizes_of(fit: Fit) -> str:
@@ -132,7 +150,7 @@
         f"`{places.get(row.place, row.place)}`"
         if row.place
         else "not ours"
-        if row.role == rows.BULLETIN
+        if row.role in (rows.BULLETIN, rows.ENGINE)
         else ""
     )
     if row.mend and found.passed:
@@ -174,11 +192,11 @@
             body.append((use.quantity, _of(use), NOT_MEASURED, NONE, NONE, NONE, NONE))
             continue
         exponent = (
-            f"{number(fit.exponent)} +- {number(fit.exponent_error)}"
+            f"{number(fit.exponent)} +- {number(beside(fit.exponent_error, fit.exponent))}"
             if fit.exponent == fit.exponent
             else NONE
         )
-        worst = f"{number(100 * fit.worst)}%"
+        worst = f"{number(100 * beside(fit.worst, 1.0))}%"
         body.append((use.quantity, _of(use), slope_of(fit), fit.form, exponent, worst, sizes_of(fit)))
     return table(head, body)
 
@@ -297,24 +315,21 @@
 def subsets(samples: Sequence[Sample]) -> str:
     """Rows that were measured with a subset on, beside the way of before."""
     sizes = sorted({s.subset for s in samples if s.subset})
-    head = (
-        "row",
-        "unit",
-        "without, at 4,000 and 15,000",
-        "passed at",
-        *[t for k in sizes for t in (f"keeping {k}", "passed at")],
-    )
-    plain = Figures(samples)
-    body = []
-    for row in rows.ROWS:
-        before = capacity.find(row, plain)
-        after = [capacity.find(row, Figures(samples, subset=k)) for k in sizes]
-        if not before.used or before.value is None or all(f.value is None for f in after):
+    kept = [Figures(samples, subset=k) for k in sizes]
+    head = ["row", "budget", "all engines", "passed at"]
+    head += [cell for k in sizes for cell in (f"{k} kept", "used", "passed at")]
+    plain, body = Figures(samples), list[list[str]]()
+    for row in (*rows.ROWS, *rows.SUBSET_ROWS):
+        before, after = capacity.find(row, plain), [capacity.find(row, figures) for figures in kept]
+        if row.key not in SUBSET_CHANGES or all(f.value is None for f in after):
             continue
-        cells = [row.key, row.unit, quantity(before.value.value, row.unit), where(row.along, before.crossing)]
+        own = row in rows.SUBSET_ROWS
+        was = NONE if own or before.value is None else quantity(before.value.value, row.unit)
+        cells = [row.key, row.budget_name or NONE, was, NONE if own else where(row.along, before.crossing)]
         for f in after:
             cells += [
-                quantity(f.value.value, row.unit) if f.value else NOT_MEASURED,
+                ranged(f.value, row.unit) if f.value else f"{NOT_MEASURED}: {f.missing}",
+                f"{number(100 * f.share)}%" if f.share is not None else NONE,
                 where(row.along, f.crossing),
             ]
         body.append(cells)
@@ -355,11 +370,61 @@
     return table(head, body) if body else "No file yet."
 
 
+FOUND, BEFORE = "found-", "before-"
+
+
+def fitted(results: Mapping[str, Results]) -> list[Sample]:
+    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them, and
+    `before-*.json`, which were taken of a program that was mended since."""
+    return [s for name, r in results.items() if not name.startswith((FOUND, BEFORE)) for s in r.samples]
+
+
+MENDED = 1.5  # times less, at the greatest size that both have, is worth a line
+
+
+def mendings(results: Mapping[str, Results], uses: Iterable[Use]) -> str:
+    """Quantities of which `before-*.json` has others than the files of today."""
+    then = Figures([s for name, r in results.items() if name.startswith(BEFORE) for s in r.samples])
+    now, body = Figures(fitted(results)), list[list[str]]()
+    for use in uses:
+        try:
+            old, new = then.fit(use), now.fit(use)
+        except capacity.NotMeasured:
+            continue
+        common = [size for size in old.sizes if size in new.sizes]
+        if not common or old.at(common[-1])[0] < MENDED * new.at(common[-1])[0]:
+            continue
+        size = f"{common[-1]:,} {use.grows_with}"
+        was, now_is = (quantity(fit.at(common[-1])[0], fit.unit) for fit in (old, new))
+        body.append([use.quantity, _of(use), size, was, old.form, now_is, new.form])
+    if not body:
+        return "Nothing was mended between two files of results."
+    return table(("quantity", "of", "at", "before", "form", "after", "form"), body)
+
+
+def simulation(samples: Sequence[Sample]) -> str:
+    """Processor seconds of a simulated second of the whole fleet, by size."""
+    cells = {(s.gateways, s.note): s for s in samples if s.quantity == "sim_cpu_s"}
+    notes = list(dict.fromkeys(note for _, note in cells))
+    if not notes:
+        return f"{NOT_MEASURED}: sim_cpu_s"
+    body = []
+    for gateways in sorted({gateways for gateways, _ in cells}):
+        found = [cells.get((gateways, note)) for note in notes]
+        body.append(
+            [
+                f"{gateways:,}",
+                *(ranged(Estimate(s.value, s.low, s.high), s.unit) if s else NONE for s in found),
+            ]
+        )
+    return table(["gateways", *notes], body)
+
+
 def render(
     results: Mapping[str, Results], predictions: Sequence[Prediction], places: Mapping[str, str]
 ) -> dict[str, str]:
     """All tables by name."""
-    samples = [s for r in results.values() for s in r.samples]
+    samples = fitted(results)
     figures = Figures(samples)
     found = [capacity.find(row, figures) for row in rows.ROWS]
     facts = [rates.reckon(fact, figures) for fact in rates.FACTS]
@@ -374,6 +439,8 @@
         "ranking": lambda: ranking(found),
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
+        "mendings": lambda: mendings(results, uses),
+        "simulation": lambda: simulation(samples),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
     }
