Let a newcomer ask a leader that it has not heard of itself yet

Cause, found in simulated time (newcomers without a lease for tens of seconds): Node.leader_of named no leader whose member was not alive or suspect, and a member never heard of counts as gone. A process that starts knows who leads by the first probe's note, but had to meet the leader by its own probes, one member a second in an order at random: as many seconds as there are members. Until then it had no lease, sent the leader no report (and so counted as out) and asked for no slot.

A test that fails without it.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from whintrail.fleet.membership import Life
 from whintrail.fleet.node import Given
 from whintrail.fleet.wire import WantVersion
 from whintrail.standins.leases import Variant, look
@@ -38,6 +39,31 @@
 bodies = st.builds(Body, shut=names, paused=names, caps=counts, wait_ms=waits, homes=homes)
 
 
+def test_a_newcomer_has_its_lease_before_it_has_heard_of_the_leader_by_a_probe() -> None:
+    world = World(lambda n, b: Given("f", n, 60, (0, 1, 2), versions=VersionPace()), 60, 7)
+    world.acquaint()
+    assert world.run(20, lambda: world.leader() is not None)
+    world.run(3)
+    leader = world.leader()
+    assert leader is not None
+    unheard = 0
+    for number in range(10, 16):
+        world.kill(number)
+        world.run(1)
+        world.start(number)
+        for _ in range(30):  # it hears of who leads by the first probe, its own or another's
+            world.run(0.1)
+            settings = world.node(number).settings
+            assert settings is not None
+            if settings.member.acting.rule(world.clock(number)).leased:
+                break
+        else:
+            pytest.fail(f"n{number} has no lease 3 s after its start")
+        members = world.node(number).members
+        unheard += members.count(Life.ALIVE) < 30
+    assert unheard == 6  # of most members it has heard nothing yet
+
+
 @given(bodies, bodies, bodies)
 def test_the_merge_is_commutative_associative_idempotent_and_stricter(a: Body, b: Body, c: Body) -> None:
     assert meet(a, b) == meet(b, a)
--- a/whintrail/fleet/node.py
+++ b/whintrail/fleet/node.py
@@ -230,7 +230,10 @@
         number = self.known[2]
         if number < 0 or number == self.given.me:
             return None
-        if self.members.members[number].life not in (Life.ALIVE, Life.SUSPECT):  # suspects may answer yet
+        member = self.members.members[number]
+        # Suspects may answer yet; and a newcomer that waited until it heard of the leader by its own probes
+        # would wait for as many seconds as there are members.
+        if member.birth and member.life not in (Life.ALIVE, Life.SUSPECT):
             return None
         return number
 
