Ask a body's proposer first, and another one at once who doesn't hold it

Cause, by timing the phases of a change in simulated time (2.5 of 2.9 s at 200 gateways were the check of the proposal): Parts.due took a fetch for stuck when it had not moved for 0.6 s, counted from 0 instead of from the first question. So the first question went to a member drawn at random, which doesn't hold the body yet, never to the proposer as docs/versions.md says; each next one after 0.6 s.

Now the first question is the beginning; whoever told no piece at all is left after one question (0.15 s); and in a fleet of more than 256 so many ask the proposer and the others one another, so that a proposer is not asked by 4,000 at once.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -116,6 +116,43 @@
     assert mine.piece(digest(data), 10_000) is None and mine.piece(1, 0) is None
 
 
+def test_the_proposer_is_asked_first_by_so_many_and_who_does_not_hold_it_is_not_waited_for() -> None:
+    late = 10**12  # of a process's clock
+    first = []
+    for number in range(2000):
+        mine = Parts(Random(number))
+        mine.want(77, 5)
+        first.append(mine.due(late, range(2000))[0][0])
+    assert 150 < first.count(5) < 400  # one of 2,000 would be drawn at random
+    few = Parts(Random(1))
+    few.want(77, 5)
+    asked = [of for turn in range(12) for of, _, _ in few.due(late + turn * 50_000, range(200))]
+    assert asked[0] == 5 and len(asked) == 4  # each 0.15 s, another one each time
+    assert len(set(asked)) == 4
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_change_is_in_force_everywhere_soon_after_it_was_proposed(seed: int) -> None:
+    world = World(lambda n, b: Given("f", n, 60, (0, 1, 2), versions=VersionPace()), 60, seed)
+    world.acquaint()
+    assert world.run(20, lambda: world.leader() is not None)
+    world.run(3)
+    for number in (1, 2):
+        node, began = world.node(20 + number), world.now
+        assert node.settings is not None
+        digest = node.settings.member.put(Body(caps={"report": number}))
+        node.wish(world.clock(20 + number), WantVersion(number, digest, ""), 10, True)
+
+        def acted(number: int = number) -> bool:
+            found = [world.node(n).settings for n in world.up()]
+            rules = [s.member.acting.rule(world.clock(n)) for n, s in enumerate(found) if s is not None]
+            return all(r.leased and (r.number, r.phase) == (number, Phase.SETTLED) for r in rules)
+
+        assert world.run(10, acted)
+        assert (world.now - began) / 1e6 < 1.5
+        world.run(1)
+
+
 def test_after_its_lease_a_gateway_acts_on_the_stricter_of_the_last_two() -> None:
     acting = Acting()
     old, new = Body(shut=("a",), caps={"c": 5}), Body(shut=("b",), caps={"c": 9})
--- a/whintrail/versions/parts.py
+++ b/whintrail/versions/parts.py
@@ -13,6 +13,7 @@
 PIECE = 176
 MOST_PIECES = -(-MOST_BYTES // PIECE)
 WINDOW, ASK_US = 24, 150_000
+FIRST = 256  # so many of the fleet ask the proposer at once, the others one another
 
 
 @dataclass(slots=True)
@@ -23,7 +24,7 @@
     got: dict[int, bytes] = field(default_factory=dict)
     told_by: set[int] = field(default_factory=set)  # of which members the pieces are
     asked_at: int = -ASK_US
-    moved_at: int = 0
+    moved_at: int = -1  # nobody was asked yet
 
 
 class Parts:
@@ -67,7 +68,12 @@
             able = holders
             if self.distrusted:
                 able = [n for n in holders if (n, fetch.digest) not in self.distrusted]
-            stuck = now - fetch.moved_at > 4 * ASK_US
+            if fetch.moved_at < 0:
+                fetch.moved_at = now
+                if len(able) > FIRST and self.random.randrange(len(able)) >= FIRST:
+                    fetch.of = -1
+            # Who told no piece at all most likely doesn't hold it yet, and another one may by now.
+            stuck = now - fetch.moved_at >= (4 * ASK_US if fetch.parts else ASK_US)
             if able and (fetch.of not in able or stuck):
                 fetch.of = self.random.choice(able)
                 fetch.moved_at = now
