--- a/tests/test_simulated_growth.py
+++ b/tests/test_simulated_growth.py
@@ -2,7 +2,8 @@
 with the fleet, not with its square.
 
 The digests were recorded with the code that looked through all members each turn (commit f373ec2), and
-again where what is sent was to change: a newcomer asks a leader it has not probed; a body's proposer is asked.
+again where what is sent was to change: a newcomer asks a leader it has not probed, a body is asked for first
+of its proposer.
 """
 
 from collections.abc import Callable
--- a/whintrail/scale/simulate.py
+++ b/whintrail/scale/simulate.py
@@ -174,10 +174,10 @@
         for name, part in (
             ("start", self.start),
             ("quiet", self.quiet),
-            ("bounds", self.bounds),
             ("changes", self.one_after_another),
-            ("slots", self.slots),
+            ("bounds", self.bounds),
             ("losses", self.losses),
+            ("slots", self.slots),
             ("mean", partial(self.rate, MEAN_CHANGES_PER_S, "0.74/s")),
             ("ten times", partial(self.rate, 10 * MEAN_CHANGES_PER_S, "7.4/s")),
         ):
