--- /dev/null
+++ b/benchmarks/parts.py
@@ -0,0 +1,35 @@
+"""Gateways that keep a part of the engines each, over many seeds of faults: python -m benchmarks.parts
+
+Prints one line a seed and the sum; status 1 where a promise was broken.
+"""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import click
+
+from whintrail.standins.parts import play
+
+
+@click.command()
+@click.option("--seeds", default=20, show_default=True)
+@click.option("--first", default=1, show_default=True)
+@click.option("--seconds", default=6.0, show_default=True)
+@click.option("--jobs", default=2, show_default=True)
+def main(seeds: int, first: int, seconds: float, jobs: int) -> None:
+    numbers, bad, got = range(first, first + seeds), 0, 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, audit in zip(numbers, pool.map(partial(play, seconds=seconds), numbers), strict=True):
+            bad, got = bad + (not audit.sound), got + audit.got
+            click.echo(
+                f"seed {seed}: asked {audit.asked}, got {audit.got}, from others {audit.strange[:5]}, "
+                f"after the drain {audit.drained[:5]}, unanswered {audit.unanswered}, idle {audit.idle}, "
+                f"{dict(audit.ends)}"
+            )
+    click.echo(f"{seeds} seeds, {got} queries at the engines, {bad} with a broken promise")
+    sys.exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,11 +20,13 @@
         "test_log",
         "test_once",
         "test_other_customer",
+        "test_parts_processes",
         "test_peers",
         "test_refusals",
         "test_reload",
         "test_rough_clients",
         "test_store",
+        "test_subset_gateway",
         "test_timeline",
         "test_versions_processes",
     ]
