Judge queries without estimates by the work that answers tell, not by their class's mean

Looked into: without an estimate a query's span is its class's mean. In a small model of processor sharing (six gateways, eight engines, a quarter drained; trials) every note of progress of long work counted again as a runaway.

At fault: brain.py, _judge to _stretch (latency against query.span_us, which is the class's mean), and _noted (total > RUNAWAY * span: long work that is not slow widens no bound but narrows it at each note, and where cancels are allowed begins anew elsewhere, while an engine that heeds none works on).

Change: an answer without an estimate is judged by the work it told; no note calls such a query a runaway. Queries with estimates are judged as before.

Both tests fail without the change.

--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -180,3 +180,42 @@
         driver.end(number, api.Outcome.OK, work_ms=300.0)
     driver.ask(1000, cost_us=None)
     assert 290_000 < driver.gateway.queries[1000].span_us < 330_000  # not three times as much again
+
+
+def unestimated() -> Driver:
+    """A class of 100 ms whose queries come without estimates, and whose answers tell the work."""
+    driver = Driver(settings(tells_cost=True), *(engine(f"e{n}") for n in range(2)))
+    for number in range(100):
+        driver.ask(number, cost_us=None, memory_mb=None)
+        driver.now += 100_000
+        driver.end(number, Out.OK, work_ms=100.0)
+    return driver
+
+
+def test_without_estimates_long_work_at_full_pace_is_not_taken_for_a_slow_engine() -> None:
+    """The class's mean stood in for what answers tell: an engine with long work counted as pressed."""
+    driver = unestimated()
+    engines = driver.gateway.engines.values()
+    before = [(e.width, e.stretch) for e in engines]
+    for number in range(200, 240):
+        driver.ask(number, cost_us=None, memory_mb=None)
+        driver.end(number, Out.OK, elapsed_us=SECOND, work_ms=1000.0)
+    assert all(width <= e.width and e.stretch < 1.1 for e, (width, _) in zip(engines, before, strict=True))
+    for number in range(300, 340):  # as much work at a quarter of the pace is a slow engine's
+        driver.ask(number, cost_us=None, memory_mb=None)
+        driver.end(number, Out.OK, elapsed_us=4 * SECOND, work_ms=1000.0)
+    assert all(driver.gateway._pressed(e) for e in engines)
+
+
+def test_without_estimates_long_work_is_no_runaway() -> None:
+    """Each of its notes narrowed the bounds, and where cancels are allowed it began anew elsewhere."""
+    driver = unestimated()
+    before = [(e.width, e.stretch) for e in driver.gateway.engines.values()]
+    driver.ask(200, cost_us=None, memory_mb=None, give_up_us=driver.now + 60 * SECOND)
+    (sent,) = sends(driver.actions, 200)
+    for step in range(1, 9):
+        driver.now += SECOND
+        driver.tell(api.AttemptNote(200, 0, sent.engine, api.Topic.PROGRESS, step / 10))
+    assert before == [(e.width, e.stretch) for e in driver.gateway.engines.values()]
+    assert not [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
+    assert sends(driver.actions, 200) == [sent]
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -503,7 +503,9 @@
         took = event.elapsed_us
         if query.group is not None:  # what it stood behind ours tells nothing of the engine
             took, engine.freed[query.group] = min(took, self.now - engine.freed.get(query.group, 0)), self.now
-        self._stretch(query, engine, took, took)
+        # Without an estimate the class's mean stands in: a long query would look like a slow engine.
+        told = event.work_ms * 1000 / query.threads if event.work_ms and query.cost_us is None else None
+        self._stretch(query, engine, took, took, told)
         if not attempt.share:
             self._heads(query, took)
         if event.work_ms and query.cost_us is None:
@@ -530,10 +532,12 @@
         engine.errors.value += ERROR_GAIN * (error - engine.errors.now(self.now, ERROR_FADE_US))
         self.losses.add(loss, LOSS_MEMORY)
 
-    def _stretch(self, query: Query, engine: Engine, elapsed_us: float, total_us: float) -> None:
+    def _stretch(
+        self, query: Query, engine: Engine, elapsed_us: float, total_us: float, told_us: float | None = None
+    ) -> None:
         """An elapsed time against the estimate; runaways count too, else a jam looks quick, but not
         what a dead engine held: that tells of no other engine, and had all else refused as late."""
-        span, cls, recent = max(query.span_us, 5_000.0), query.cls, query.cls.recent
+        span, cls, recent = max(told_us or query.span_us, 5_000.0), query.cls, query.cls.recent
         ratio = min(max(elapsed_us, 1) / span, 5 * recent.value or math.inf)
         if elapsed_us == total_us:  # what was called off early must not look quick
             recent.add(ratio, BEST_OVER)  # single lucky ones say nothing: estimates scatter
@@ -587,7 +591,8 @@
         finish = attempt.sent_at + total
         fresh = self._expected_us(query) * cls.headed / (cls.recent.value or cls.headed)
         bad = total > RUNAWAY * query.span_us * max(cls.high, cls.headed) and finish > query.aim_at
-        if bad and self.now + fresh < min(finish, query.give_up):
+        # Without an estimate it is most often long work: no fault of its engine, and as long on another.
+        if bad and query.cost_us is not None and self.now + fresh < min(finish, query.give_up):
             self._stretch(query, attempt.engine, self.now - attempt.sent_at, total)
             self._elsewhere(query, attempt)
 
