--- a/whintrail/scale/ways.py
+++ b/whintrail/scale/ways.py
@@ -41,6 +41,13 @@
 PACE_S = 0.6  # the fleet asks an engine so often
 BATCHES_S = {"": 0.5, "_batch_1s": 1.0, "_batch_2s": 2.0}  # what is told waits so long for company
 HEAD_BYTES, MEMO_HEAD, SIGHTING = 28, 3, 7
+SHORT = (
+    "holders_least",
+    "holders_cv",
+    "load_cv_aware_sigma_0.5",
+    "churn_engine_goes",
+    "memo_bytes_sent_per_s",
+)
 LOAD_FLOOR, DRAW_POWER, MEAN_USED = 0.2, 3.0, 0.5  # of the module's draw; the engines' mean use
 
 
@@ -165,6 +172,15 @@
 }
 
 
+def brief(samples: list[Sample]) -> list[Sample]:
+    """What goes into the file: all of the largest size, of the others what shows how the ways go with it."""
+    most = max((one.gateways for one in samples), default=0)
+    left_out = ("load_most_plain_sigma_0", "load_most_aware_sigma_0")
+    largest = [one for one in samples if one.gateways == most and one.quantity not in left_out]
+    others = [one for one in samples if one.gateways < most and (one.kind == "core" or one.quantity in SHORT)]
+    return others + largest
+
+
 def spread(values: Floats | Ints) -> float:
     """Coefficient of variation."""
     return float(np.std(values) / max(1e-12, float(np.mean(values))))
@@ -367,4 +383,4 @@
             samples += judge(name, gateways, engines, size)
         if gateways <= most:
             samples += cost(gateways, engines, size)
-    save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, samples, note)
+    save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, brief(samples), note)
