--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -14,6 +14,7 @@
 
 from tests.helpers import query_class, settings
 from whintrail import interface as api
+from whintrail.brain import Gateway
 from whintrail.fleet import memo
 from whintrail.subset import ring as ring_module
 from whintrail.subset.part import LEAST_PART, Home, Known, Part, Rings, Share, Stratum
@@ -463,6 +464,25 @@
     assert entry.engine not in told.entries
 
 
+def test_the_module_draws_from_the_part_alone() -> None:
+    random, engines = Random(4), {e.engine: e for e in roster(200)}
+    given = settings(fleet_size=40, me=3)
+    told, module = Told(Part(SubsetPlan(size=20, least_holders=2), given)), Gateway(given, 1, 0)
+    module.handle(0, told.take(api.EngineList(WHOLE, tuple(engines.values()))) or api.EngineList(DELTA, ()))
+    for turn in range(300):
+        entry = replace(random.choice(list(engines.values())), state=random.choice([READY, DRAINING, GONE]))
+        engines[entry.engine] = entry
+        passed = told.take(api.EngineList(DELTA, (entry,)))
+        if turn % 10 == 0 and (settled := told.part.settle(lambda engine: True)) is not None:
+            told.told(settled)
+            module.handle(turn, settled)
+        if passed is not None:
+            module.handle(turn, passed)
+        ready = {name for name in told.part.shown if engines[name].state is READY}
+        assert {engine.address for engine in module.ready} == ready and ready
+        assert module.engines.keys() == told.entries.keys()
+
+
 def test_a_region_keeps_its_own_zones_and_few_of_others_that_a_class_is_bound_to() -> None:
     regions = (Region(("z0", "z1"), 0, 39), Region(("z2",), 40, 79))
     plan = SubsetPlan(size=30, least_holders=4, least_stratum=3, regions=regions)
--- /dev/null
+++ b/tests/test_ways.py
@@ -0,0 +1,74 @@
+"""The ways of subsetting that are weighed, at a size that a test bears; and the page that quotes them."""
+
+from pathlib import Path
+
+import numpy as np
+import pytest
+
+from whintrail.scale import ways
+from whintrail.scale.results import Sample, load
+
+ROOT = Path(__file__).parents[1]
+GATEWAYS, ENGINES, KEEP = 60, 240, 16
+
+
+@pytest.mark.parametrize("name", ways.WAYS)
+def test_a_way_gives_each_gateway_its_engines_once(name: str) -> None:
+    words = ways.mix(np.arange(ENGINES, dtype=np.uint64), 99)
+    pairs = ways.WAYS[name](GATEWAYS, words, KEEP)
+    assert len({(int(g), int(e)) for g, e in zip(pairs.gateway, pairs.engine, strict=True)}) == len(
+        pairs.engine
+    )
+    sizes = np.bincount(pairs.gateway, minlength=GATEWAYS)
+    assert abs(float(sizes.mean()) - KEEP) <= 2 and sizes.min() > 0
+    ids = np.arange(ENGINES)
+    assert not ways.gained(pairs, ids, pairs, ids, GATEWAYS).any()
+    assert abs(float(ways.loads(pairs, np.ones(GATEWAYS), ENGINES, aware=True).mean()) - 1) < 1e-9
+
+
+def test_partners_and_bytes_of_groups_are_those_of_a_sum_by_hand() -> None:
+    """15 groups of 4 gateways and 16 engines: 3 partners; of 16 engines' probes a gateway hears 3 in 4."""
+    words = ways.mix(np.arange(ENGINES, dtype=np.uint64), 99)
+    partners, sent = ways.talk(ways.cells(GATEWAYS, words, KEEP), GATEWAYS, ENGINES)
+    assert set(partners) == {3}
+    rate = KEEP / ways.PACE_S / 4
+    datagrams = 3 * (1 - np.exp(-rate * 0.5)) / 0.5
+    assert sent[""] == pytest.approx((datagrams, datagrams * 31 + 3 * rate * 7))
+
+
+def test_the_file_stays_small() -> None:
+    samples = [one for size in ((60, 240), (70, 240)) for one in ways.judge("cells", *size, KEEP)]
+    kept = ways.brief(samples)
+    assert {one.quantity for one in kept if one.gateways == 60} == set(ways.SHORT)
+    assert {one.quantity for one in kept if one.gateways == 70} > set(ways.SHORT)
+
+
+def test_the_page_quotes_the_file() -> None:
+    found: dict[str, dict[str, Sample]] = {}
+    for one in load(ROOT / "docs/capacity/ways.json").samples:
+        if one.gateways == 4000 and one.kind == "simulated":
+            found.setdefault(one.note, {})[one.quantity] = one
+    page = (ROOT / "docs/subset.md").read_text(encoding="utf-8").splitlines()
+    rows = {
+        row.split(" | ")[0].strip("|* "): row.strip("| ").split(" | ") for row in page if row.startswith("| ")
+    }
+    assert set(found) == set(ways.WAYS) and set(found) <= set(rows)
+    for name, by in found.items():
+
+        def quote(form: str, *quantities: str, by: dict[str, Sample] = by) -> str:
+            return "; ".join(format(by[quantity].value, form) for quantity in quantities)
+
+        size = by["part_engines"]
+        low, high = f"{size.low:.0f}", f"{size.high:.0f}"
+        assert rows[name][1:] == [
+            low if low == high else f"{low} to {high}",
+            f"{by['holders_least'].value:.0f} to {by['holders_most'].value:.0f}",
+            quote(".3f", "load_cv_plain_sigma_0", "load_cv_aware_sigma_0"),
+            quote(".3f", "load_cv_aware_sigma_0.5", "load_cv_aware_sigma_1"),
+            quote(".2f", "load_most_aware_sigma_1"),
+            quote(".3f", "churn_engine_comes", "churn_engine_goes"),
+            quote(".1f", "churn_zone_goes", "churn_fleet_grows_tenth"),
+            quote(".0f", "orphans_block", "orphans_stride"),
+            quote(".0f", "memo_partners"),
+            quote(",.0f", "memo_bytes_sent_per_s"),
+        ]
