--- a/tests/test_simulated_growth.py
+++ b/tests/test_simulated_growth.py
@@ -6,10 +6,11 @@
 of its proposer.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from hashlib import blake2b
 from random import Random
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -151,6 +152,45 @@
     assert played(count, seed) == RECORDED[count, seed]
 
 
+class Looked(list[Any]):
+    """Counts how many of its items are looked at, one by one or in a scan."""
+
+    looks = 0
+
+    def __getitem__(self, place: Any) -> Any:
+        Looked.looks += 1
+        return super().__getitem__(place)
+
+    def __iter__(self) -> Iterator[Any]:
+        for item in super().__iter__():
+            Looked.looks += 1
+            yield item
+
+
+def looked_at(count: int) -> tuple[int, int]:
+    """Members looked at, and events, in two quiet seconds of a fleet of so many with leases and lists."""
+    world = World(partial(settings, count), count, 9, dict(ENGINES))
+    world.acquaint()
+    assert world.run(15, lambda: world.leader() is not None)
+    listed(world, Random(9), 1)
+    world.run(3)
+    for number in world.up():
+        members = world.node(number).members
+        members.members = Looked(members.members)
+        numbers = members.by_life.numbers
+        for life in numbers:
+            numbers[life] = Looked(numbers[life])
+    Looked.looks, events = 0, world.numbered
+    world.run(2)
+    return Looked.looks, world.numbered - events
+
+
+def test_what_a_quiet_fleet_looks_at_grows_no_more_than_it_does() -> None:
+    small, large = looked_at(40), looked_at(160)
+    for few, many in zip(small, large, strict=True):
+        assert 0 < many < 4.4 * few  # a scan of all by all would be 16 times as many
+
+
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 30)), max_size=300), st.integers(2, 6))
 def test_news_are_told_in_the_order_of_a_sorted_dictionary(steps: list[tuple[bool, int]], most: int) -> None:
     news, plain = News(), dict[int, int]()
