--- a/tests/test_scale_fitting.py
+++ b/tests/test_scale_fitting.py
@@ -57,6 +57,13 @@
     assert named(lambda x: 1.0 if x % 800 else 50.0).startswith("no line")
 
 
+def test_a_value_of_zero_is_no_surer_than_the_others() -> None:
+    found = fit(samples(lambda x: max(0.0, 2.0 * x - 40)), "cost_us", "engines")  # 0 at the first size
+    assert found.form == "linear"
+    assert found.slope == pytest.approx(2.0, rel=1e-6)
+    assert found.worst < 1e-6
+
+
 def test_a_line_below_zero_is_a_line_and_has_no_exponent() -> None:
     found = fit(samples(lambda x: -5.0 - x), "cost_us", "engines")
     assert found.form == "linear"
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -36,7 +36,7 @@
         "memo_datagrams_per_s memo_sent_datagrams_per_s lease_asks_per_s leader_lease_asks_per_s "
         "leader_lease_tells_per_s leader_held_back_per_s node_datagrams_per_s"
     ),
-    "bytes/s": "memo_bytes_per_s leader_lease_bytes_per_s node_bytes_per_s",
+    "bytes/s": "memo_bytes_per_s memo_sent_bytes_per_s leader_lease_bytes_per_s node_bytes_per_s",
     "count": "probes_per_s probes_an_engine_per_s",
 }
 MAY_BE_ZERO = {"memo_keys_shared", "leader_held_back_per_s"}
@@ -86,6 +86,23 @@
     assert value["memo_bytes_per_s", "gateway", 5, 20] == pytest.approx(memos * one)
 
 
+def test_with_a_part_of_the_engines_kept_the_module_holds_that_part_and_samples_say_so(
+    taken: list[Sample], tmp_path: Path
+) -> None:
+    path = tmp_path / "part.json"
+    given = ["--subset", "8", "--fleet", "40", "--engines", "60,120", "--repeats", "3", "--rounds", "1"]
+    given += ["--played-engines", "20,40", "--played-gateways", "5,10", "--part", "module", "--part", "memos"]
+    found = CliRunner().invoke(root, ["scale", "slopes", *given, "--seconds", "60", "--to", str(path)])
+    assert found.exit_code == 0, found.output
+    part = load(path).samples
+    assert {one.subset for one in part} == {8}
+    assert {one.quantity for one in part} <= {one.quantity for one in taken}
+    (whole,) = (s.value for s in taken if s.quantity == "module_bytes" and s.engines == 60)
+    assert all(s.value < whole for s in part if s.quantity == "module_bytes")
+    few = CliRunner().invoke(root, ["scale", "slopes", *given, "--played-engines", "20", "--to", str(path)])
+    assert few.exit_code == 2
+
+
 @pytest.mark.parametrize(("bound", "word"), [(("--seconds", "0"), "time"), (("--memory-mb", "1"), "memory")])
 def test_a_bound_ends_it_by_itself_with_one_line_and_what_was_taken_is_kept(
     tmp_path: Path, bound: tuple[str, str], word: str
--- a/whintrail/scale/fitting.py
+++ b/whintrail/scale/fitting.py
@@ -173,14 +173,15 @@
     greatest = float(np.abs(values).max())
     tiny = max(greatest * 1e-9, 1e-12)
     # A median's standard error is 1.25 of a mean's. A value of 0 is not known beyond all others.
-    floor = FLOOR * np.maximum(np.abs(values), greatest * 1e-3)
+    against = np.maximum(np.abs(values), max(greatest * 1e-3, tiny))
+    floor = FLOOR * against
     errors = np.maximum(np.hypot(1.25 * spread / np.sqrt(counts), floor), tiny)
-    allowed = np.maximum(WITHIN, spread / np.maximum(np.abs(values), tiny))
+    allowed = np.maximum(WITHIN, spread / against)
 
     ones = np.ones_like(sizes)
     line = least_squares(np.stack([ones, sizes], axis=1), values, errors)
-    relative = np.abs(values - line.found[0] - line.found[1] * sizes) / np.maximum(np.abs(values), tiny)
-    noise = float(np.median(errors / np.maximum(np.abs(values), tiny)))
+    relative = np.abs(values - line.found[0] - line.found[1] * sizes) / against
+    noise = float(np.median(errors / against))
     power = None
     exponent = exponent_error = math.nan
     if (values > 0).all() and (sizes > 0).all():
--- a/whintrail/scale/slopes.py
+++ b/whintrail/scale/slopes.py
@@ -19,7 +19,7 @@
 PARTS = ("versions", "module", "list", "memos", "members", "nodes")
 ENGINES = "20,80,200,800,2000,5000,15000"
 GATEWAYS = "20,50,200,800,2000,4000"
-PLAYED_ENGINES, PLAYED_GATEWAYS = "20,40,80,120,160", "10,20,50,100,200"
+PLAYED_ENGINES, PLAYED_GATEWAYS = "20,40,80,200,400", "10,20,50,100,200"
 REFRESH = "module_refresh_us"
 
 
@@ -160,6 +160,8 @@
       whintrail scale slopes --subset 80 --fleet 4000 --part module --part memos \\
         --played-gateways 100,200,400 --played-engines 375,750,1500 --to docs/capacity/slopes-subset.json
     """
+    if subset and len(played_engines) != len(played_gateways):
+        raise click.UsageError("with --subset, as many --played-engines as --played-gateways are wanted")
     began, machine = time.time(), this_machine()
     run = Run(
         Bench(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True), subset
