Keep what was measured where a size fails, and take sessions before load

Cause: at 15,000 engines and 50 queries a second the gateway closed the session that asked whether it held an event; the error ended the run and nothing was saved. Memory a connection, taken last, came out at 41 bytes at 4,000 engines since the load had left room. Change: the session is asked anew, an error of a size ends the run with what was taken, idle sessions come first, and an answer that is still awaited counts as a standstill.

--- a/whintrail/scale/load.py
+++ b/whintrail/scale/load.py
@@ -61,6 +61,7 @@
         self.idle: list[LoadClient] = []
         self.pingers: list[asyncio.Task[None]] = []
         self.pings, self.longest_s, self.lost = Delays(), 0.0, 0
+        self.waits: dict[int, float] = {}  # by port, since when an answer is awaited
 
     async def load(self, fields: Mapping[str, Any]) -> dict[str, Any]:
         """`rate` queries a second (Poisson) to each of `ports` for `seconds`; counts of ends (`served`, an
@@ -136,7 +137,7 @@
         client = LoadClient(port)
         try:
             while True:
-                began = time.monotonic()
+                began = self.waits[port] = time.monotonic()
                 try:
                     await client.ask("")
                 except OSError:  # the gateway is down, or made room for another session
@@ -147,13 +148,17 @@
                 passed = time.monotonic() - began
                 self.pings.add(passed)
                 self.longest_s = max(self.longest_s, passed)
+                del self.waits[port]
                 await asyncio.sleep(max(0.0, every_s - passed))
         finally:
+            self.waits.pop(port, None)
             client.close()
 
     def stalls(self, _: Mapping[str, Any]) -> dict[str, Any]:
-        """Since the last call: the longest answer to an empty query in seconds, all of them, and how many
-        were lost."""
+        """Since the last call: the longest wait for an empty query's answer in seconds, one that still goes
+        on too, all answers, and how many were lost."""
+        now = time.monotonic()
+        self.longest_s = max([self.longest_s, *(now - since for since in self.waits.values())])
         told = {"longest_s": self.longest_s, "delays": self.pings.encode(), "lost": self.lost}
         self.pings, self.longest_s, self.lost = Delays(), 0.0, 0
         return told
--- a/whintrail/scale/real.py
+++ b/whintrail/scale/real.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -25,7 +26,7 @@
 from whintrail.gateway.limits import MEGABYTE
 from whintrail.scale import bulletin, engines, load
 from whintrail.scale.measure import Delays, read_process
-from whintrail.scale.procs import BoundError, Child, Group
+from whintrail.scale.procs import BoundError, Child, ChildError, Group
 from whintrail.scale.results import Sample, sample, save, this_machine
 from whintrail.standins.load import LoadClient
 from whintrail.standins.scripted import listener
@@ -94,8 +95,10 @@
                     file.seek(place)
                     seen = [int(text) for text in EVENTS.findall(file.read().decode())]
                 if seen and max(seen) >= events:
-                    await client.ask("")
-                    return time.monotonic() - published
+                    with suppress(OSError):  # it may make room for another session: asked anew
+                        await client.ask("")
+                        return time.monotonic() - published
+                    client.close()
             return None
         finally:
             client.close()
@@ -198,6 +201,8 @@
     async def lists(self, deltas: int, wholes: int) -> None:
         site = self.site
         await site.pinger.ask("ping", ports=site.ports, every_s=0.01)
+        await asyncio.sleep(0.5)
+        await site.pinger.ask("stalls")  # sessions have opened
         await asyncio.sleep(1.0)
         quiet = await site.pinger.ask("stalls")
         self.note("loop_stall_ms", "ms", [quiet["longest_s"] * 1e3], "an empty query's longest answer, idle")
@@ -288,14 +293,15 @@
             async def work(site: Site = site, one: Measure = one) -> None:
                 await site.start()
                 await one.idle()
+                await one.sessions(asked.sessions)  # before anything else takes memory
                 await one.load(asked.repeats)
+                await asyncio.sleep(2.0)  # what an overload left behind
                 await one.lists(deltas=10, wholes=3)
                 await one.most(sessions=128)
-                await one.sessions(asked.sessions)
 
             try:
                 await group.within(work())
-            except BoundError as error:
+            except (BoundError, ChildError, OSError) as error:
                 return taken, f"ended at {count} engines: {error}"
             finally:
                 taken.extend(one.taken)
