--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -338,3 +338,16 @@
     text = tables.simulation(samples + [changed(s, note="after", value=0.01) for s in samples])
     assert "| gateways | before | after |" in text and "| 800 | 1.60 s" in text
     assert tables.simulation([]) == "not measured: sim_cpu_s"
+
+
+def test_hollow_runs_stand_beside_what_cores_and_simulation_say_of_their_size() -> None:
+    samples = line("memo_datagrams_per_s", 1.25) + line("control_cpu_share", 1e-4, kind="hollow")
+    hollow = changed(wanted(80), quantity="memo_datagrams_per_s", kind="hollow", value=110.0, subset=0)
+    text = tables.agreement([*samples, hollow], Figures([*samples, hollow]))
+    assert "| 200 | 80 | 110 datagrams/s | 100" in text and text.endswith("| 1.10 |")
+    assert "not measured" in tables.agreement([], Figures([]))
+
+
+def test_a_row_takes_figures_of_its_own_kind_only() -> None:
+    samples = line("memo_datagrams_per_s", 1.25, kind="hollow")
+    assert capacity.find(row("memo_datagrams"), Figures(samples)).missing == "memo_datagrams_per_s"
--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -126,7 +126,7 @@
         quantity: str,
         grows_with: Grows,
         *,
-        kind: Kind | None = None,
+        kind: Kind = "core",
         role: str | None = None,
         note: str | None = None,
         stat: Stat = "value",
@@ -140,7 +140,7 @@
         value, low, high = self.figures.fit(use).at(x)
         return Estimate(max(0.0, value), max(0.0, low), max(0.0, high))
 
-    def slope(self, quantity: str, grows_with: Grows, kind: Kind | None = None) -> Estimate:
+    def slope(self, quantity: str, grows_with: Grows, kind: Kind = "core") -> Estimate:
         """What one engine or gateway more adds, of a line. Errors: NotMeasured."""
         use = Use(quantity, grows_with, kind)
         if use not in self.used:
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -45,11 +45,13 @@
 
 
 def _one(s: Size) -> Estimate:
-    return s.measured("version_in_force_s", "gateways", note="one after another")
+    return s.measured("version_in_force_s", "gateways", kind="simulated", note="one after another")
 
 
 def _one_p99(s: Size) -> Estimate:
-    return s.measured("version_in_force_s", "gateways", note="one after another", stat="high")
+    return s.measured(
+        "version_in_force_s", "gateways", kind="simulated", note="one after another", stat="high"
+    )
 
 
 def _left_at_night(s: Size) -> Estimate:
@@ -69,7 +71,9 @@
 
 
 def _newcomers(s: Size) -> Estimate:
-    return s.measured("state_newcomer_datagrams", "gateways", day="losses") * (s.gateways / given("regions"))
+    return s.measured("state_newcomer_datagrams", "gateways", kind="simulated", day="losses") * (
+        s.gateways / given("regions")
+    )
 
 
 def _engine_shut(s: Size) -> Estimate:
@@ -82,7 +86,7 @@
 
 
 def _known(s: Size) -> Estimate:
-    return s.measured("removal_known_s", "gateways", day="losses")
+    return s.measured("removal_known_s", "gateways", kind="simulated", day="losses")
 
 
 def _out_most(s: Size) -> float:
@@ -169,7 +173,7 @@
         BACK,
         "until one holds the state",
         "s",
-        lambda s: s.measured("state_newcomer_s", "gateways", day="losses"),
+        lambda s: s.measured("state_newcomer_s", "gateways", kind="simulated", day="losses"),
         IN_FORCE,
         "3 s",
     ),
@@ -226,7 +230,7 @@
         RESTARTS,
         "a slot granted, one at a time",
         "s",
-        lambda s: s.measured("slot_s", "gateways"),
+        lambda s: s.measured("slot_s", "gateways", kind="simulated"),
         1 / per_s("restarts_a_day"),
         "one is due each 48 s",
     ),
@@ -244,7 +248,7 @@
         RESTARTS,
         "all gateways, one slot after another",
         "s",
-        lambda s: s.measured("slot_s", "gateways") * s.gateways,
+        lambda s: s.measured("slot_s", "gateways", kind="simulated") * s.gateways,
     ),
     Fact(
         "failure_days",
--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -118,7 +118,7 @@
     return (s.slope("list_line_bytes", "engines") + exactly(given("segment_overhead"))) * CHANGES
 
 
-def _memo_bytes(s: Size) -> Estimate:
+def memo_bytes(s: Size) -> Estimate:
     """Heard, and told to each gateway by itself: where one address stands for all, the first alone."""
     heard = s.measured("memo_bytes_per_s", "engines")
     try:
@@ -137,7 +137,7 @@
 
 
 def _bytes_sum(s: Size) -> Estimate:
-    return _memo_bytes(s) + _member_bytes(s) + _delta_bytes(s) + _told_bytes(s)
+    return memo_bytes(s) + _member_bytes(s) + _delta_bytes(s) + _told_bytes(s)
 
 
 def _memory_sum(s: Size) -> Estimate:
@@ -146,7 +146,7 @@
 
 
 def _one_after_another(s: Size) -> Estimate:
-    return s.measured("version_in_force_s", "gateways", note="one after another") * CHANGES
+    return s.measured("version_in_force_s", "gateways", kind="simulated", note="one after another") * CHANGES
 
 
 def _hollow_bytes(s: Size) -> Estimate:
@@ -473,7 +473,7 @@
         "memos heard and told",
         "bytes/s",
         "engines",
-        _memo_bytes,
+        memo_bytes,
         BYTES,
         BYTES_NAME,
         BRAIN + "_probed",
@@ -497,7 +497,7 @@
         "the same, simulated",
         "bytes/s",
         "gateways",
-        lambda s: s.measured("member_bytes_per_s", "gateways", role="gateway"),
+        lambda s: s.measured("member_bytes_per_s", "gateways", kind="simulated", role="gateway"),
         BYTES,
         BYTES_NAME,
         "whintrail/fleet/node.py:Node.flush",
@@ -596,7 +596,9 @@
         "a change in force on all, p99",
         "s",
         "gateways",
-        lambda s: s.measured("version_in_force_s", "gateways", note="one after another", stat="high"),
+        lambda s: s.measured(
+            "version_in_force_s", "gateways", kind="simulated", note="one after another", stat="high"
+        ),
         IN_FORCE,
         "3 s",
         "whintrail/versions/guide.py:Guide.tick",
@@ -632,7 +634,7 @@
         "a dead gateway known to nine in ten",
         "s",
         "gateways",
-        lambda s: s.measured("removal_known_s", "gateways", day="losses"),
+        lambda s: s.measured("removal_known_s", "gateways", kind="simulated", day="losses"),
         None,
         "",
         "whintrail/fleet/membership.py:Membership._suspicion_us",
@@ -644,7 +646,7 @@
         "the fleet's state with a newcomer",
         "s",
         "gateways",
-        lambda s: s.measured("state_newcomer_s", "gateways", day="losses"),
+        lambda s: s.measured("state_newcomer_s", "gateways", kind="simulated", day="losses"),
         None,
         "",
         "whintrail/fleet/replica.py:Replica.pull",
@@ -752,7 +754,7 @@
         "the leader's node, simulated",
         "share",
         "gateways",
-        lambda s: s.measured("leader_cpu_share", "gateways"),
+        lambda s: s.measured("leader_cpu_share", "gateways", kind="simulated"),
         CORE,
         CORE_NAME,
         "whintrail/fleet/node.py:Node._lead",
@@ -989,7 +991,7 @@
         "`fleet may-restart`: a slot granted",
         "s",
         "gateways",
-        lambda s: s.measured("slot_s", "gateways"),
+        lambda s: s.measured("slot_s", "gateways", kind="simulated"),
         None,
         "",
         "whintrail/fleet/leader.py:Leader._slot",
@@ -1001,7 +1003,7 @@
         "slots one after another, share of the day",
         "share",
         "gateways",
-        lambda s: s.measured("slot_s", "gateways") * per_s("restarts_a_day"),
+        lambda s: s.measured("slot_s", "gateways", kind="simulated") * per_s("restarts_a_day"),
         1.0,
         "the whole day",
         "whintrail/fleet/leader.py:Leader._slot",
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from whintrail.scale import candidates, capacity, inputs, rates, rows
-from whintrail.scale.capacity import Along, Crossing, Estimate, Figures, Found, Use
+from whintrail.scale.capacity import Along, Crossing, Estimate, Figures, Found, Size, Use
 from whintrail.scale.fitting import Fit
 from whintrail.scale.results import Results, Sample
 
@@ -359,6 +359,71 @@
     return table([size, *days], body)
 
 
+def _hollow(s: Size, quantity: str, day: str = "steady") -> float | None:
+    """What hollow gateways came to at exactly this size, all engines kept."""
+    at = int(s.gateways), int(s.engines)
+    for one in s.figures.samples:
+        if (one.quantity, one.kind, one.role, one.day) == (quantity, "hollow", "gateway", day):
+            if (one.gateways, one.engines, one.subset) == (*at, 0):
+                return one.value
+    return None
+
+
+def _both_ways(s: Size) -> float | None:
+    heard, sent = _hollow(s, "bytes_in_per_s"), _hollow(s, "bytes_out_per_s")
+    return heard + sent if heard is not None and sent is not None else None
+
+
+AGREEMENT: tuple[tuple[str, str, Callable[[Size], float | None], Callable[[Size], Estimate]], ...] = (
+    (
+        "memos heard; cores played together",
+        "datagrams/s",
+        lambda s: _hollow(s, "memo_datagrams_per_s"),
+        lambda s: s.measured("memo_datagrams_per_s", "engines"),
+    ),
+    (
+        "datagrams in and out, memos too; cores, simulated fleet",
+        "bytes/s",
+        _both_ways,
+        lambda s: rows.memo_bytes(s)
+        + s.measured("member_bytes_per_s", "gateways", kind="simulated", role="gateway"),
+    ),
+    (
+        "the node's processor time; cores alone",
+        "share",
+        lambda s: _hollow(s, "node_share"),
+        lambda s: s.measured("node_cpu_share", "gateways", role="gateway"),
+    ),
+    (
+        "a change in force on all, median; simulated fleet",
+        "s",
+        lambda s: _hollow(s, "version_in_force_s", "changes"),
+        lambda s: s.measured("version_in_force_s", "gateways", kind="simulated", note="one after another"),
+    ),
+)
+
+
+def agreement(samples: Sequence[Sample], figures: Figures) -> str:
+    """Hollow gateways on real datagrams beside what cores alone and simulated fleets say of the same size."""
+    sizes = sorted({(s.gateways, s.engines) for s in samples if s.kind == "hollow" and not s.subset})
+    body = []
+    for what, unit, hollow, model in AGREEMENT:
+        for gateways, engines in sizes:
+            at = Size(gateways, engines, figures)
+            found = hollow(at)
+            if found is None:
+                continue
+            cells = [what, f"{gateways:,}", f"{engines:,}", quantity(found, unit)]
+            try:
+                says = model(at)
+            except capacity.NotMeasured as error:
+                body.append([*cells, f"{NOT_MEASURED}: {error}", NONE])
+                continue
+            body.append([*cells, ranged(says, unit), number(found / says.value) if says.value else NONE])
+    head = ("what", "gateways", "engines", "hollow", "cores or simulated", "ratio")
+    return table(head, body) if body else f"{NOT_MEASURED}: no hollow run."
+
+
 def files(results: Mapping[str, Results]) -> str:
     head = ("file", "command", "commit", "taken at", "took", "load before", "samples")
     body = []
@@ -440,6 +505,7 @@
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
         "mendings": lambda: mendings(results, uses),
+        "agreement": lambda: agreement(samples, figures),
         "simulation": lambda: simulation(samples),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
