Hold no budget against a range that tells nothing, and rank no size beyond what it rests on

Cause: a delay taken at 25 and 50 gateways on a machine too small for them gave 245,000 s at 4,000, and ranked.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -21,6 +21,7 @@
     Size,
     exactly,
 )
+from whintrail.scale.fitting import Fit
 from whintrail.scale.page import ROOT, check, find_places, foretell, grows_with, read_results, report
 from whintrail.scale.results import Sample, save, this_machine
 
@@ -351,3 +352,38 @@
 def test_a_row_takes_figures_of_its_own_kind_only() -> None:
     samples = line("memo_datagrams_per_s", 1.25, kind="hollow")
     assert capacity.find(row("memo_datagrams"), Figures(samples)).missing == "memo_datagrams_per_s"
+
+
+def test_a_range_that_tells_nothing_passes_no_budget_and_ranks_nowhere() -> None:
+    figures, use = Figures([]), capacity.Use("module_refresh_us", "engines", "core")
+    line_of = {"intercept": 0.0, "slope": 1.0, "slope_error": 0.7, "exponent": 1.0, "exponent_error": 0.7}
+    figures.fits[use] = Fit(
+        "module_refresh_us", "us", "engines", **line_of, form="linear", sizes=(20, 40, 80), worst=0.1,
+        curve=lambda x: (x, 1.5 * x),
+    )  # fmt: skip
+    found = capacity.find(row("refresh_cpu"), figures)
+    assert value_of(found).wide and not found.passed
+    assert not crossing_of(found).sure and capacity.failing([found]) == []
+    assert tables.where("engines", found.crossing).startswith("unsure: ")
+    text = tables.told(found.value, "", "share", found.used, figures)
+    assert text.startswith("not told by its sizes (0% to ")
+
+
+def test_a_curve_below_0_tells_nothing() -> None:
+    falling = Figures(line("module_refresh_us", -1.0, 6000.0))
+    found = capacity.find(row("refresh_cpu"), falling)
+    assert value_of(found).wide and not found.passed
+    assert tables.told(found.value, "", "share", (), falling) == "not told by its sizes"
+
+
+def test_what_is_passed_at_the_least_size_taken_says_no_more_than_that() -> None:
+    found = capacity.find(row("refresh_cpu"), Figures(line("module_refresh_us", 0.0, 1e6)))
+    assert crossing_of(found).below and crossing_of(found).sure
+    assert tables.where("engines", found.crossing) == "below 20 engines, the least taken"
+
+
+def test_a_wide_range_all_of_which_passes_the_budget_passes_it() -> None:
+    wide = Estimate(10.0, 2.0, 40.0)
+    high = replace(row("clients"), value=lambda s: wide, budget=1.0)
+    assert capacity.find(high, Figures([])).passed
+    assert not capacity.find(replace(high, budget=50.0), Figures([])).passed
--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import cache
 from typing import Literal
@@ -31,6 +32,7 @@
     "list_digest_",
     "leader_",
 )
+WIDE = 2.0  # times the value: a range wider than that says that the sizes taken don't tell
 BEYOND = 10.0  # sizes are looked through up to so many times the one that is coming
 
 
@@ -49,8 +51,13 @@
     def __add__(self, other: "Estimate") -> "Estimate":
         return Estimate(self.value + other.value, self.low + other.low, self.high + other.high)
 
+    @property
+    def wide(self) -> bool:
+        """Its range is so wide that it tells nothing."""
+        return not math.isfinite(self.high) or self.high - self.low > WIDE * self.value
+
     def __mul__(self, by: float) -> "Estimate":
-        """By a figure of at least 0."""
+        """By a figure above 0."""
         return Estimate(self.value * by, self.low * by, self.high * by)
 
 
@@ -137,7 +144,10 @@
         if use not in self.used:
             self.used.append(use)
         x = self.engines if grows_with == "engines" else self.gateways
-        value, low, high = self.figures.fit(use).at(x)
+        found = self.figures.fit(use)
+        value, low, high = found.at(x)
+        if value < 0 and x > max(found.sizes):  # nothing is: the curve has left what it was taken of
+            return Estimate(0.0, 0.0, math.inf)
         return Estimate(max(0.0, value), max(0.0, low), max(0.0, high))
 
     def slope(self, quantity: str, grows_with: Grows, kind: Kind = "core") -> Estimate:
@@ -175,6 +185,19 @@
     share: float  # of the way from today's size to the one that is coming; inf: at none; never below 0
     earliest: float | None  # by the upper end of the range
     latest: float | None
+    taken: tuple[int, int] | None = None  # the least and the greatest size of what it rests on; None: all
+
+    @property
+    def below(self) -> bool:
+        """At the least size that was taken it is passed already: how much sooner is not known."""
+        return self.size is not None and self.taken is not None and self.size <= self.taken[0]
+
+    @property
+    def sure(self) -> bool:
+        """Between sizes that were taken, or beyond them by the lower end of the range too."""
+        if self.size is None:
+            return False
+        return self.latest is not None or self.taken is None or self.size <= self.taken[1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,8 +212,12 @@
 
     @property
     def passed(self) -> bool:
-        """At the size that it was reckoned at."""
-        return self.value is not None and self.row.budget is not None and self.value.value > self.row.budget
+        """At the size that it was reckoned at; a range that tells nothing passes no budget, unless all of it
+        does or it is passed for sure at a smaller size."""
+        if self.value is None or self.row.budget is None or self.value.value <= self.row.budget:
+            return False
+        sure = self.crossing is not None and self.crossing.sure
+        return not self.value.wide or self.value.low > self.row.budget or sure
 
     @property
     def share(self) -> float | None:
@@ -250,7 +277,22 @@
     found_at = {which: _first(lambda x, w=which: passes(x, w), most) for which in ("value", "high", "low")}  # type: ignore[misc]
     size = found_at["value"]
     share = math.inf if size is None else share_of_way(row.along, size)
-    return Crossing(size, share, found_at["high"], found_at["low"])
+    used = Size(*coming(), figures)
+    row.value(used)
+    return Crossing(size, share, found_at["high"], found_at["low"], _taken(row.along, used.used, figures))
+
+
+def _taken(along: Along, used: Sequence[Use], figures: Figures) -> tuple[int, int] | None:
+    """The sizes between which all was taken that a row rests on."""
+    ranges = []
+    for use in used:
+        if along in ("both", use.grows_with):
+            with suppress(NotMeasured):  # another was taken in its place
+                sizes = figures.fit(use).sizes
+                ranges.append((min(sizes), max(sizes)))
+    if not ranges or along in ("both", "neither"):
+        return None
+    return max(low for low, _ in ranges), min(high for _, high in ranges)
 
 
 def _first(passes: Callable[[float], bool], most: float) -> float | None:
@@ -309,6 +351,7 @@
     at today's size already are equals and stay in the table's order. Sums, and what a setting mends, are left
     out: a mechanism would count twice by the first and for nothing by the second."""
     late = [f for f in found if f.crossing is not None and f.crossing.share <= 1.0]
+    late = [f for f in late if f.crossing is not None and f.crossing.sure]
     late = [f for f in late if not f.row.total and not f.row.mend]
     return sorted(late, key=lambda f: f.crossing.share if f.crossing is not None else math.inf)
 
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -2,6 +2,7 @@
 held against them."""
 
 import ast
+import math
 import re
 import time
 from collections.abc import Mapping, Sequence
@@ -119,10 +120,10 @@
 def _values(figures: Figures, size: tuple[float, float]) -> list[tuple[str, str, capacity.Estimate]]:
     found = []
     for row in rows.ROWS:
-        if (value := capacity.find(row, figures, size).value) is not None:
+        if (value := capacity.find(row, figures, size).value) is not None and math.isfinite(value.high):
             found.append((row.key, row.unit, value))
     for fact in rates.FACTS:
-        if (value := rates.reckon(fact, figures, size).value) is not None:
+        if (value := rates.reckon(fact, figures, size).value) is not None and math.isfinite(value.high):
             found.append((fact.key, fact.unit, value))
     return found
 
@@ -360,6 +361,8 @@
 
 def _checked(f: Found) -> dict[str, object]:
     verdict = "not measured: " + f.missing if f.value is None else "passed" if f.passed else "holds"
+    if f.value is not None and f.value.wide and not f.passed and f.row.budget is not None:
+        verdict = "not told" if f.value.high > f.row.budget else "holds"
     value = f.value.value if f.value is not None else None
     shown: dict[str, object] = {
         "row": f.row.key,
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -33,7 +33,9 @@
     @property
     def passed(self) -> bool:
         budget = self.fact.budget
-        return self.value is not None and budget is not None and self.value.value > budget
+        if self.value is None or budget is None or self.value.value <= budget:
+            return False
+        return not self.value.wide or self.value.low > budget
 
 
 def reckon(fact: Fact, figures: Figures, size: tuple[float, float] | None = None) -> Reckoned:
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -10,7 +10,7 @@
 from whintrail.scale.fitting import Fit
 from whintrail.scale.results import Results, Sample
 
-NOT_MEASURED, NONE = "not measured", "-"
+NOT_MEASURED, NOT_TOLD, NONE = "not measured", "not told by its sizes", "-"
 SUBSET_CHANGES = {
     *candidates.SUBSET.carries,
     *candidates.SUBSET.in_part,
@@ -89,6 +89,9 @@
     if value is None:
         return f"{NOT_MEASURED}: {missing}"
     text = ranged(value, unit)
+    if value.wide:
+        ends = [quantity(max(0.0, beside(end, value.value)), unit) for end in (value.low, value.high)]
+        text = f"{NOT_TOLD} ({ends[0]} to {ends[1]})" if math.isfinite(value.high) else NOT_TOLD
     for use in used:
         try:
             most = max(figures.fit(use).sizes)
@@ -114,7 +117,9 @@
         gateways, engines = capacity.on_the_way(_both_share(x))
         return f"{number(gateways)} and {number(engines)}"
 
-    text = size(crossing.size)
+    if crossing.below and crossing.taken is not None:
+        return f"below {crossing.taken[0]:,} {along}, the least taken"
+    text = size(crossing.size) if crossing.sure else f"unsure: {size(crossing.size)}"
     early, late = crossing.earliest, crossing.latest
     if early is not None and late is not None and size(early) != size(late):
         text += f" ({size(early)} to {size(late)})"
@@ -176,7 +181,7 @@
         row = f.row
         value = told(f.value, f.missing, row.unit, f.used, figures)
         budget = row.budget_name or "none set"
-        used = f"{number(100 * f.share)}%" if f.share is not None else NONE
+        used = f"{number(100 * f.share)}%" if f.share is not None and f.value and not f.value.wide else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
         body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places), crossing))
     return table(head, body)
@@ -214,6 +219,8 @@
         fact = r.fact
         value = told(r.value, r.missing, fact.unit, r.used, figures)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
+        if fact.budget is not None and r.value is not None and r.value.wide and not r.passed:
+            holds = NOT_TOLD if r.value.high > fact.budget else "yes"
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
 
