--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -356,11 +356,20 @@
 
 def test_a_range_that_tells_nothing_passes_no_budget_and_ranks_nowhere() -> None:
     figures, use = Figures([]), capacity.Use("module_refresh_us", "engines", "core")
-    line_of = {"intercept": 0.0, "slope": 1.0, "slope_error": 0.7, "exponent": 1.0, "exponent_error": 0.7}
     figures.fits[use] = Fit(
-        "module_refresh_us", "us", "engines", **line_of, form="linear", sizes=(20, 40, 80), worst=0.1,
+        quantity="module_refresh_us",
+        unit="us",
+        grows_with="engines",
+        intercept=0.0,
+        slope=1.0,
+        slope_error=0.7,
+        exponent=1.0,
+        exponent_error=0.7,
+        form="linear",
+        sizes=(20, 40, 80),
+        worst=0.1,
         curve=lambda x: (x, 1.5 * x),
-    )  # fmt: skip
+    )
     found = capacity.find(row("refresh_cpu"), figures)
     assert value_of(found).wide and not found.passed
     assert not crossing_of(found).sure and capacity.failing([found]) == []
