--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -311,6 +311,19 @@
     return high
 
 
+def at_taken(
+    value: Callable[[Size], Estimate], used: Sequence[Use], figures: Figures
+) -> tuple[Estimate, tuple[float, float]]:
+    """The value at the greatest gateways and engines, up to the coming ones, at which all was taken that it
+    rests on. Errors: NotMeasured."""
+    sizes = {"gateways": coming()[0], "engines": coming()[1]}
+    for use in used:
+        with suppress(NotMeasured):  # another was taken in its place
+            sizes[use.grows_with] = min(sizes[use.grows_with], max(figures.fit(use).sizes))
+    at = sizes["gateways"], sizes["engines"]
+    return value(Size(*at, figures)), at
+
+
 def find(row: Row, figures: Figures, size: tuple[float, float] | None = None) -> Found:
     at = Size(*(size or coming()), figures)
     try:
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -1,10 +1,21 @@
 """Rates of change worked through at a size: what each day or fault brings, and the budget it is held against.
 Pure. What each side may do then is prose: docs/CAPACITY.md."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from whintrail.scale.capacity import Estimate, Figures, NotMeasured, Size, Use, coming, exactly, per_s
+from whintrail.scale.capacity import (
+    Estimate,
+    Figures,
+    NotMeasured,
+    Size,
+    Use,
+    at_taken,
+    coming,
+    exactly,
+    per_s,
+)
 from whintrail.scale.inputs import value as given
 from whintrail.scale.rows import CHANGES, CLIENTS, ENTRIES, IN_FORCE, PRIMARY, RETELLS, TOLD_CHANGE
 
@@ -29,19 +40,23 @@
     value: Estimate | None
     missing: str
     used: tuple[Use, ...] = ()
+    taken: tuple[Estimate, tuple[float, float]] | None = None  # at the greatest size of what it rests on
 
     @property
     def passed(self) -> bool:
         budget = self.fact.budget
-        if self.value is None or budget is None or self.value.value <= budget:
+        if self.value is None or budget is None:
             return False
-        return not self.value.wide or self.value.low > budget
+        if self.value.wide and self.taken is not None:
+            return self.taken[0].value > budget  # there already
+        return self.value.value > budget and (not self.value.wide or self.value.low > budget)
 
 
 def reckon(fact: Fact, figures: Figures, size: tuple[float, float] | None = None) -> Reckoned:
     at = Size(*(size or coming()), figures)
     try:
-        return Reckoned(fact, fact.value(at), "", tuple(at.used))
+        value = fact.value(at)
+        return Reckoned(fact, value, "", tuple(at.used), at_taken(fact.value, at.used, figures))
     except NotMeasured as error:
         return Reckoned(fact, None, str(error), tuple(at.used))
 
@@ -61,7 +76,7 @@
     one = _one(s)
     made = [min(given("changes_a_day"), DAY / max(1e-9, t)) for t in (one.value, one.high, one.low)]
     left = [given("changes_a_day") - m for m in made]
-    return Estimate(left[0], min(left), max(left))
+    return Estimate(left[0], min(left), math.inf if one.wide else max(left))
 
 
 def _burst_last(s: Size) -> Estimate:
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -84,14 +84,24 @@
     return f"{text} ({quantity(low, unit)} to {quantity(high, unit)})"
 
 
-def told(value: Estimate | None, missing: str, unit: str, used: Sequence[Use], figures: Figures) -> str:
+def told(
+    value: Estimate | None,
+    missing: str,
+    unit: str,
+    used: Sequence[Use],
+    figures: Figures,
+    reckon: Callable[[Size], Estimate],
+) -> str:
     """The cell of a value at the size that is coming; where its fits were taken at smaller sizes only, so."""
     if value is None:
         return f"{NOT_MEASURED}: {missing}"
-    text = ranged(value, unit)
     if value.wide:
-        ends = [quantity(max(0.0, beside(end, value.value)), unit) for end in (value.low, value.high)]
-        text = f"{NOT_TOLD} ({ends[0]} to {ends[1]})" if math.isfinite(value.high) else NOT_TOLD
+        there, (gateways, engines) = capacity.at_taken(reckon, used, figures)
+        along = {use.grows_with for use in used}
+        sizes = [f"{gateways:,.0f} gateways"] * ("gateways" in along)
+        sizes += [f"{engines:,.0f} engines"] * ("engines" in along)
+        return f"{NOT_TOLD}; {quantity(there.value, unit)} at {' and '.join(sizes)}"
+    text = ranged(value, unit)
     for use in used:
         try:
             most = max(figures.fit(use).sizes)
@@ -179,7 +189,7 @@
     body = []
     for f in found:
         row = f.row
-        value = told(f.value, f.missing, row.unit, f.used, figures)
+        value = told(f.value, f.missing, row.unit, f.used, figures, row.value)
         budget = row.budget_name or "none set"
         used = f"{number(100 * f.share)}%" if f.share is not None and f.value and not f.value.wide else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
@@ -217,10 +227,10 @@
     body = []
     for r in facts:
         fact = r.fact
-        value = told(r.value, r.missing, fact.unit, r.used, figures)
+        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
-        if fact.budget is not None and r.value is not None and r.value.wide and not r.passed:
-            holds = NOT_TOLD if r.value.high > fact.budget else "yes"
+        if fact.budget is not None and r.value is not None and r.value.wide:
+            holds = "**no**, there already" if r.passed else NOT_TOLD
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
 
