--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -1,10 +1,21 @@
 """Rates of change worked through at a size: what each day or fault brings, and the budget it is held against.
 Pure. What each side may do then is prose: docs/CAPACITY.md."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from whintrail.scale.capacity import Estimate, Figures, NotMeasured, Size, Use, coming, exactly, per_s
+from whintrail.scale.capacity import (
+    Estimate,
+    Figures,
+    NotMeasured,
+    Size,
+    Use,
+    at_taken,
+    coming,
+    exactly,
+    per_s,
+)
 from whintrail.scale.inputs import value as given
 from whintrail.scale.rows import CHANGES, CLIENTS, ENTRIES, IN_FORCE, PRIMARY, RETELLS, TOLD_CHANGE
 
@@ -29,27 +40,35 @@
     value: Estimate | None
     missing: str
     used: tuple[Use, ...] = ()
+    taken: tuple[Estimate, tuple[float, float]] | None = None  # at the greatest size of what it rests on
 
     @property
     def passed(self) -> bool:
         budget = self.fact.budget
-        return self.value is not None and budget is not None and self.value.value > budget
+        if self.value is None or budget is None:
+            return False
+        if self.value.wide and self.taken is not None:
+            return self.taken[0].value > budget  # there already
+        return self.value.value > budget and (not self.value.wide or self.value.low > budget)
 
 
 def reckon(fact: Fact, figures: Figures, size: tuple[float, float] | None = None) -> Reckoned:
     at = Size(*(size or coming()), figures)
     try:
-        return Reckoned(fact, fact.value(at), "", tuple(at.used))
+        value = fact.value(at)
+        return Reckoned(fact, value, "", tuple(at.used), at_taken(fact.value, at.used, figures))
     except NotMeasured as error:
         return Reckoned(fact, None, str(error), tuple(at.used))
 
 
 def _one(s: Size) -> Estimate:
-    return s.measured("version_in_force_s", "gateways", note="one after another")
+    return s.measured("version_in_force_s", "gateways", kind="simulated", note="one after another")
 
 
 def _one_p99(s: Size) -> Estimate:
-    return s.measured("version_in_force_s", "gateways", note="one after another", stat="high")
+    return s.measured(
+        "version_in_force_s", "gateways", kind="simulated", note="one after another", stat="high"
+    )
 
 
 def _left_at_night(s: Size) -> Estimate:
@@ -57,7 +76,7 @@
     one = _one(s)
     made = [min(given("changes_a_day"), DAY / max(1e-9, t)) for t in (one.value, one.high, one.low)]
     left = [given("changes_a_day") - m for m in made]
-    return Estimate(left[0], min(left), max(left))
+    return Estimate(left[0], min(left), math.inf if one.wide else max(left))
 
 
 def _burst_last(s: Size) -> Estimate:
@@ -69,7 +88,9 @@
 
 
 def _newcomers(s: Size) -> Estimate:
-    return s.measured("state_newcomer_datagrams", "gateways", day="losses") * (s.gateways / given("regions"))
+    return s.measured("state_newcomer_datagrams", "gateways", kind="simulated", day="losses") * (
+        s.gateways / given("regions")
+    )
 
 
 def _engine_shut(s: Size) -> Estimate:
@@ -82,7 +103,7 @@
 
 
 def _known(s: Size) -> Estimate:
-    return s.measured("removal_known_s", "gateways", day="losses")
+    return s.measured("removal_known_s", "gateways", kind="simulated", day="losses")
 
 
 def _out_most(s: Size) -> float:
@@ -169,7 +190,7 @@
         BACK,
         "until one holds the state",
         "s",
-        lambda s: s.measured("state_newcomer_s", "gateways", day="losses"),
+        lambda s: s.measured("state_newcomer_s", "gateways", kind="simulated", day="losses"),
         IN_FORCE,
         "3 s",
     ),
@@ -226,7 +247,7 @@
         RESTARTS,
         "a slot granted, one at a time",
         "s",
-        lambda s: s.measured("slot_s", "gateways"),
+        lambda s: s.measured("slot_s", "gateways", kind="simulated"),
         1 / per_s("restarts_a_day"),
         "one is due each 48 s",
     ),
@@ -244,7 +265,7 @@
         RESTARTS,
         "all gateways, one slot after another",
         "s",
-        lambda s: s.measured("slot_s", "gateways") * s.gateways,
+        lambda s: s.measured("slot_s", "gateways", kind="simulated") * s.gateways,
     ),
     Fact(
         "failure_days",
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -6,11 +6,11 @@
 from msgspec import Struct
 
 from whintrail.scale import candidates, capacity, inputs, rates, rows
-from whintrail.scale.capacity import Along, Crossing, Estimate, Figures, Found, Use
+from whintrail.scale.capacity import Along, Crossing, Estimate, Figures, Found, Size, Use
 from whintrail.scale.fitting import Fit
 from whintrail.scale.results import Results, Sample
 
-NOT_MEASURED, NONE = "not measured", "-"
+NOT_MEASURED, NOT_TOLD, NONE = "not measured", "not told by its sizes", "-"
 SUBSET_CHANGES = {
     *candidates.SUBSET.carries,
     *candidates.SUBSET.in_part,
@@ -84,10 +84,23 @@
     return f"{text} ({quantity(low, unit)} to {quantity(high, unit)})"
 
 
-def told(value: Estimate | None, missing: str, unit: str, used: Sequence[Use], figures: Figures) -> str:
+def told(
+    value: Estimate | None,
+    missing: str,
+    unit: str,
+    used: Sequence[Use],
+    figures: Figures,
+    reckon: Callable[[Size], Estimate],
+) -> str:
     """The cell of a value at the size that is coming; where its fits were taken at smaller sizes only, so."""
     if value is None:
         return f"{NOT_MEASURED}: {missing}"
+    if value.wide:
+        there, (gateways, engines) = capacity.at_taken(reckon, used, figures)
+        along = {use.grows_with for use in used}
+        sizes = [f"{gateways:,.0f} gateways"] * ("gateways" in along)
+        sizes += [f"{engines:,.0f} engines"] * ("engines" in along)
+        return f"{NOT_TOLD}; {quantity(there.value, unit)} at {' and '.join(sizes)}"
     text = ranged(value, unit)
     for use in used:
         try:
@@ -114,7 +127,9 @@
         gateways, engines = capacity.on_the_way(_both_share(x))
         return f"{number(gateways)} and {number(engines)}"
 
-    text = size(crossing.size)
+    if crossing.below and crossing.taken is not None:
+        return f"below {crossing.taken[0]:,} {along}, the least taken"
+    text = size(crossing.size) if crossing.sure else f"unsure: {size(crossing.size)}"
     early, late = crossing.earliest, crossing.latest
     if early is not None and late is not None and size(early) != size(late):
         text += f" ({size(early)} to {size(late)})"
@@ -174,9 +189,9 @@
     body = []
     for f in found:
         row = f.row
-        value = told(f.value, f.missing, row.unit, f.used, figures)
+        value = told(f.value, f.missing, row.unit, f.used, figures, row.value)
         budget = row.budget_name or "none set"
-        used = f"{number(100 * f.share)}%" if f.share is not None else NONE
+        used = f"{number(100 * f.share)}%" if f.share is not None and f.value and not f.value.wide else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
         body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places), crossing))
     return table(head, body)
@@ -212,8 +227,10 @@
     body = []
     for r in facts:
         fact = r.fact
-        value = told(r.value, r.missing, fact.unit, r.used, figures)
+        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
+        if fact.budget is not None and r.value is not None and r.value.wide:
+            holds = "**no**, there already" if r.passed else NOT_TOLD
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
 
@@ -359,6 +376,71 @@
     return table([size, *days], body)
 
 
+def _hollow(s: Size, quantity: str, day: str = "steady") -> float | None:
+    """What hollow gateways came to at exactly this size, all engines kept."""
+    at = int(s.gateways), int(s.engines)
+    for one in s.figures.samples:
+        if (one.quantity, one.kind, one.role, one.day) == (quantity, "hollow", "gateway", day):
+            if (one.gateways, one.engines, one.subset) == (*at, 0):
+                return one.value
+    return None
+
+
+def _both_ways(s: Size) -> float | None:
+    heard, sent = _hollow(s, "bytes_in_per_s"), _hollow(s, "bytes_out_per_s")
+    return heard + sent if heard is not None and sent is not None else None
+
+
+AGREEMENT: tuple[tuple[str, str, Callable[[Size], float | None], Callable[[Size], Estimate]], ...] = (
+    (
+        "memos heard; cores played together",
+        "datagrams/s",
+        lambda s: _hollow(s, "memo_datagrams_per_s"),
+        lambda s: s.measured("memo_datagrams_per_s", "engines"),
+    ),
+    (
+        "datagrams in and out, memos too; cores, simulated fleet",
+        "bytes/s",
+        _both_ways,
+        lambda s: rows.memo_bytes(s)
+        + s.measured("member_bytes_per_s", "gateways", kind="simulated", role="gateway"),
+    ),
+    (
+        "the node's processor time; cores alone",
+        "share",
+        lambda s: _hollow(s, "node_share"),
+        lambda s: s.measured("node_cpu_share", "gateways", role="gateway"),
+    ),
+    (
+        "a change in force on all, median; simulated fleet",
+        "s",
+        lambda s: _hollow(s, "version_in_force_s", "changes"),
+        lambda s: s.measured("version_in_force_s", "gateways", kind="simulated", note="one after another"),
+    ),
+)
+
+
+def agreement(samples: Sequence[Sample], figures: Figures) -> str:
+    """Hollow gateways on real datagrams beside what cores alone and simulated fleets say of the same size."""
+    sizes = sorted({(s.gateways, s.engines) for s in samples if s.kind == "hollow" and not s.subset})
+    body = []
+    for what, unit, hollow, model in AGREEMENT:
+        for gateways, engines in sizes:
+            at = Size(gateways, engines, figures)
+            found = hollow(at)
+            if found is None:
+                continue
+            cells = [what, f"{gateways:,}", f"{engines:,}", quantity(found, unit)]
+            try:
+                says = model(at)
+            except capacity.NotMeasured as error:
+                body.append([*cells, f"{NOT_MEASURED}: {error}", NONE])
+                continue
+            body.append([*cells, ranged(says, unit), number(found / says.value) if says.value else NONE])
+    head = ("what", "gateways", "engines", "hollow", "cores or simulated", "ratio")
+    return table(head, body) if body else f"{NOT_MEASURED}: no hollow run."
+
+
 def files(results: Mapping[str, Results]) -> str:
     head = ("file", "command", "commit", "taken at", "took", "load before", "samples")
     body = []
@@ -440,6 +522,7 @@
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
         "mendings": lambda: mendings(results, uses),
+        "agreement": lambda: agreement(samples, figures),
         "simulation": lambda: simulation(samples),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
