--- a/deploy/whintrail.jsonnet
+++ b/deploy/whintrail.jsonnet
@@ -25,7 +25,7 @@
 
   // Each gateway keeps a part of the engines (docs/subset.md); absent: all of them.
   // subset: {
-  //   size: 80, least_holders: 8, least_stratum: 4,
+  //   size: 80, least_holders: 8, least_stratum: 4, batch_ms: 500,
   //   regions: [{ zones: ['z1', 'z2'], first: 0, last: 443 }, { zones: ['z3'], first: 444, last: 887 }],
   // },
 }
--- a/whintrail/config/records.py
+++ b/whintrail/config/records.py
@@ -112,6 +112,7 @@
     size: Annotated[int, Meta(ge=8, le=100_000)] = 80  # engines a gateway keeps
     least_holders: Annotated[int, Meta(ge=1, le=1000)] = 8  # gateways that keep an engine
     least_stratum: Annotated[int, Meta(ge=0, le=1000)] = 4  # engines, where a class is bound to places
+    batch_ms: Annotated[int, Meta(ge=50, le=2000)] = 500  # what probes bring waits so long at most for more
     regions: tuple[Region, ...] = ()
 
 
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -155,15 +155,15 @@
         """The part of the engines that we keep, where the operator's file asks for parts; else all."""
         if self.operator is None or self.operator.subset is None:
             return
-        from whintrail.gateway.subset import TURN_US, PlanError, SubsetSide, plan_of
+        from whintrail.gateway.subset import PlanError, SubsetSide, plan_of
 
-        owner = self.owner
+        owner, asked = self.owner, self.operator.subset
         try:
-            plan = plan_of(self.operator.subset)
-            subset = SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
+            free, batch_us = lambda engine: not owner.held_by(engine), asked.batch_ms * 1000
+            subset = SubsetSide(plan_of(asked), settings, self.peers, free, batch_us)
         except PlanError as error:
             raise StartError(str(error)) from error
-        owner.keep_part(subset, TURN_US)
+        owner.keep_part(subset, subset.turn_us)
 
     def _open_fleet(self, settings: Settings) -> "FleetPart | None":
         """The fleet, where the operator's file asks for one and gateways may talk; else it is off."""
--- a/whintrail/gateway/subset.py
+++ b/whintrail/gateway/subset.py
@@ -16,10 +16,9 @@
 if TYPE_CHECKING:
     from whintrail.config.records import Subset
 
-TURN_US = BATCH_US // TURNS  # how often `turn` wants to be called
 SETTLE_US = 1_000_000  # at least, between two looks at engines that left the part
 
-__all__ = ["TURN_US", "PlanError", "SubsetSide", "plan_of"]
+__all__ = ["PlanError", "SubsetSide", "plan_of"]
 
 
 def plan_of(asked: "Subset") -> SubsetPlan:
@@ -33,10 +32,16 @@
     does not fit the fleet."""
 
     def __init__(
-        self, plan: SubsetPlan, settings: api.Settings, peers: Peers | None, free: Callable[[str], bool]
+        self,
+        plan: SubsetPlan,
+        settings: api.Settings,
+        peers: Peers | None,
+        free: Callable[[str], bool],
+        batch_us: int = BATCH_US,
     ) -> None:
         self.part = Part(plan, settings)
-        self.telling = Telling(self.part, settings.me)
+        self.telling = Telling(self.part, settings.me, batch_us)
+        self.turn_us = batch_us // TURNS  # how often `turn` wants to be called
         self.peers, self.free = peers, free
         self.addresses: dict[str, str] = {}  # of all engines: one may come into our part by another's going
         self.settle_us = max(SETTLE_US, settings.tip_after_us)
--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -265,7 +265,7 @@
         subset = side.SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
         for name in ("listed", "turn", "tell"):
             setattr(subset, name, self.meter.timed("subset", getattr(subset, name)))
-        owner.keep_part(subset, side.TURN_US)
+        owner.keep_part(subset, subset.turn_us)
 
     def _measure(self) -> None:
         meter, node, module = self.meter, self.part.node, self.owner.module
--- a/whintrail/scale/slopes.py
+++ b/whintrail/scale/slopes.py
@@ -15,6 +15,7 @@
 from whintrail.scale.timing import Bench, BoundError, collector, peak_mb
 from whintrail.subset.part import Part
 from whintrail.subset.plan import SubsetPlan
+from whintrail.subset.telling import BATCH_US
 
 PARTS = ("versions", "module", "list", "memos", "members", "nodes")
 ENGINES = "20,80,200,800,2000,5000,15000"
@@ -63,6 +64,7 @@
 
     def __init__(self, bench: Bench, repeats: int, say: Callable[[str], None], subset: int = 0) -> None:
         self.bench, self.repeats, self.say, self.subset = bench, repeats, say, subset
+        self.batch_us = BATCH_US
         self.samples: list[Sample] = []
 
     def take(self, what: str, found: Iterator[Sample]) -> list[Sample]:
@@ -116,7 +118,9 @@
         if self.subset:  # both in step: one gateway's part and its holders stay as they are
             pairs = list(zip(gateways, engines, strict=True))
         for fleet, size in pairs:
-            found = slopes_memos.memos(Deployment(fleet, size), rate, 1, self.bench, self.subset)
+            found = slopes_memos.memos(
+                Deployment(fleet, size), rate, 1, self.bench, self.subset, self.batch_us
+            )
             self.take(f"memos, {fleet} gateways, {size} engines", found)
 
 
@@ -131,6 +135,9 @@
 @click.option("--played-gateways", type=Sizes(), default=PLAYED_GATEWAYS, show_default=True)
 @click.option("--rate", default=20.0, show_default=True, help="Queries a second, a gateway that is played.")
 @click.option("--subset", default=0, show_default=True, help="Engines that a gateway keeps; 0: all.")
+@click.option(
+    "--batch-ms", default=BATCH_US // 1000, show_default=True, help="With --subset: memos wait so long."
+)
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; may be repeated.")
 @click.option("--repeats", type=click.IntRange(3), default=15, show_default=True)
 @click.option("--rounds", type=click.IntRange(1), default=3, show_default=True, help="Over all sizes.")
@@ -145,6 +152,7 @@
     played_gateways: tuple[int, ...],
     rate: float,
     subset: int,
+    batch_ms: int,
     parts: tuple[str, ...],
     repeats: int,
     rounds: int,
@@ -166,6 +174,7 @@
     run = Run(
         Bench(time.monotonic() + seconds, memory_mb), repeats, lambda text: click.echo(text, err=True), subset
     )
+    run.batch_us = batch_ms * 1000
     wanted, ended = parts or PARTS, ""
     try:
         with collector(Limits.read({}).gc_thresholds):
@@ -185,7 +194,7 @@
     note += f"{slow[-1]:.2f}). {ended}"
     context = click.get_current_context()
     given = {"engines": engines, "gateways": gateways, "fleet": fleet, "parts": wanted}
-    given |= {"repeats": repeats, "rounds": rounds, "subset": subset}
+    given |= {"repeats": repeats, "rounds": rounds, "subset": subset, "batch-ms": batch_ms}
     given |= {"played-engines": played_engines, "played-gateways": played_gateways, "rate": rate}
     typed = [f"--{name} {_text(value)}" for name, value in given.items()]
     samples = [replace(one, subset=subset) for one in merged(run.samples)]
--- a/whintrail/scale/slopes_memos.py
+++ b/whintrail/scale/slopes_memos.py
@@ -25,7 +25,6 @@
 PROBE_US, DATAGRAM_US = 500, 300  # until a probe's answer, and until a datagram arrives
 PROBES_AN_ENGINE = 3.0  # queries a gateway, at least so many for each engine's probe that falls to it
 CHECK_EACH = 2000
-TURN_US = BATCH_US // TURNS
 
 
 @dataclass(slots=True)
@@ -45,6 +44,7 @@
     rate: float
     seed: int
     subset: int = 0
+    batch_us: int = BATCH_US
     now: int = 0
     modules: list[Gateway] = field(default_factory=list)
     tellings: list[Telling] = field(default_factory=list)  # where each keeps a part
@@ -70,9 +70,9 @@
             module.start()
             if self.subset:
                 part = Part(SubsetPlan(self.subset), module.settings)
-                self.tellings.append(Telling(part, me))
+                self.tellings.append(Telling(part, me, self.batch_us))
                 module.handle(self.now, part.listed(listed) or listed)
-                self.at(self.now + self.random.randrange(TURN_US), partial(self.turn, me))
+                self.at(self.now + self.random.randrange(self.batch_us // TURNS), partial(self.turn, me))
             else:
                 module.handle(self.now, listed)
             self.at(self.now + self.random.randrange(SWEEP_US), partial(self.sweep, me))
@@ -144,7 +144,7 @@
             self.counts[me].told += 1
             self.counts[me].told_bytes += len(payload) + HEADERS
             self.at(self.now + DATAGRAM_US, partial(self.reach, me, target, payload))
-        self.at(self.now + TURN_US, partial(self.turn, me))
+        self.at(self.now + self.batch_us // TURNS, partial(self.turn, me))
 
     def reach(self, origin: int, target: int, payload: bytes) -> None:
         self.counts[target].datagrams += 1
@@ -160,12 +160,19 @@
                 self.tell(me, event)
 
 
-def memos(deployment: Deployment, rate: float, seed: int, bench: Bench, subset: int = 0) -> Iterator[Sample]:
+def memos(
+    deployment: Deployment,
+    rate: float,
+    seed: int,
+    bench: Bench,
+    subset: int = 0,
+    batch_us: int = BATCH_US,
+) -> Iterator[Sample]:
     """Datagrams and bytes a second that a gateway hears, and sends, of memos; its probes a second. `rate`:
     queries a second at each gateway at least, raised where they would not pay for its part of the probes."""
     sizes = deployment.gateways, deployment.engines
     rate = max(rate, PROBES_AN_ENGINE * deployment.engines / deployment.gateways)
-    play = Play(deployment, rate, seed, subset)
+    play = Play(deployment, rate, seed, subset, batch_us)
     play.begin()
     play.run(SETTLE_US, bench)
     play.counts[:] = [Heard() for _ in play.counts]
