--- a/whintrail/standins/parts.py
+++ b/whintrail/standins/parts.py
@@ -155,12 +155,19 @@
             engine.close()
         return self.audit
 
+    def _serves(self, number: int) -> bool:
+        """Started anew where another process had taken its port while it was down."""
+        gateway = self.fleet.gateways[number]
+        if gateway.process.poll() is not None and "already in use" in gateway.text():
+            self.fleet.gateways[number] = self.fleet.start(number)
+        return self.fleet.ready(number)
+
     def _look_at_last(self) -> None:
         """Without faults: all that are ready get queries again."""
         time.sleep(max(0.0, self.muted_until - time.monotonic()))
         self.fleet.bulletin.mute, self.fleet.relay.fault = False, sound
         for number in range(GATEWAYS):
-            wait_for(lambda number=number: self.fleet.ready(number))  # type: ignore[misc]
+            wait_for(lambda number=number: self._serves(number))  # type: ignore[misc]
         since, end = time.monotonic(), time.monotonic() + 4 * AFTER_S
         while time.monotonic() < end:
             self.audit.idle = [e.name for e in self.ready if not any(did.at > since for did in e.done)]
