--- a/tests/test_simulated_growth.py
+++ b/tests/test_simulated_growth.py
@@ -18,10 +18,10 @@
 
 from whintrail.fleet.budget import Allowed
 from whintrail.fleet.leader import EngineSeen, Rules
-from whintrail.fleet.membership import ByLife, Life, News, Without
+from whintrail.fleet.membership import ByLife, Life, Membership, News, Without
 from whintrail.fleet.node import Given
 from whintrail.fleet.state import HALTED, RUNNING
-from whintrail.fleet.wire import Change, WantDrain, WantRelease, WantSlot, WantTurn, WantVersion
+from whintrail.fleet.wire import Change, Leaving, WantDrain, WantRelease, WantSlot, WantTurn, WantVersion
 from whintrail.standins.simulated import Process, World, sound
 from whintrail.versions.body import Body
 from whintrail.versions.member import VersionPace
@@ -230,3 +230,19 @@
         assert [number for number in range(12) if number in without] == rest
         seed = len(steps)
         assert Random(seed).sample(without, len(rest) // 2) == Random(seed).sample(rest, len(rest) // 2)
+
+
+def test_what_a_member_holds_does_not_grow_with_restarts() -> None:
+    core = Membership(0, 5, 1, 1, 0, Random(1))
+
+    def held() -> int:
+        return sum(len(value) for value in vars(core).values() if hasattr(value, "__len__"))
+
+    core.assume((number + 1, 1) for number in range(5))
+    before = held()
+    for restart in range(500):
+        now = restart * 1_000_000
+        core.heard(now, 3, 1000 + restart, 2 + restart, Leaving(0))
+        core.tick(now)
+        core.out.clear()
+    assert held() < before + 20
--- a/whintrail/fleet/membership.py
+++ b/whintrail/fleet/membership.py
@@ -80,9 +80,6 @@
     origin_seq: int = 0
 
 
-Change = tuple[int, Life, Life]  # member, before, now
-
-
 class ByLife:
     """Numbers of members by what is held of them, each list in order.
 
@@ -183,7 +180,7 @@
 
 
 class Membership:
-    """Give it what comes and `tick` it; take `out` (target, message) and `changes`."""
+    """Give it what comes and `tick` it; take `out` (target, message)."""
 
     def __init__(
         self,
@@ -205,7 +202,6 @@
         self.mine.birth, self.mine.since = birth, now
         self.mine.incarnation = max(1, incarnation & MOST_INCARNATION)
         self.out: list[tuple[int, Message]] = []
-        self.changes: list[Change] = []
         self.news = News()
         self.news.put(me)
         self.most_told = math.ceil(self.pace.retell * max(1.0, math.log10(count + 1)))
@@ -344,7 +340,7 @@
     def _set(
         self, now: int, member: Member, life: Life, incarnation: int, birth: int, origin: int = -1
     ) -> None:
-        before, fresh = member.life, birth != member.birth
+        before = member.life
         self._turn(member, life)
         member.incarnation, member.birth, member.since = incarnation, birth, now
         member.suspectors = ()
@@ -353,8 +349,6 @@
             member.suspect_until = now + self._suspicion_us(1)
         if life is Life.GONE and before is not Life.GONE:
             self.removals += 1
-        if life is not before or fresh:
-            self.changes.append((member.number, before, life))
         self.news.put(member.number)
 
     def _least_us(self) -> float:
