--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -15,6 +15,7 @@
 from whintrail.gateway.clock import Clock
 from whintrail.gateway.connection import address
 from whintrail.gateway.counters import Counters
+from whintrail.gateway.enginelines import check_class_name
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.links import Links
 from whintrail.gateway.log import Log, say
@@ -78,6 +79,8 @@
             settings = replace(read_settings(config["settings"]), max_open=self.limits.open_queries)
             if not settings.classes:  # it would fail every query, one by one
                 raise ValueError("settings without Classes")
+            for cls in settings.classes:
+                check_class_name(cls.name)
             self.zones = tuple(str(zone) for zone in get(config["settings"], "Zones", []))
             seed = int(str(get(config, "seed", "0")), 16)
             self.listen = address(config["listen"])
@@ -94,6 +97,7 @@
             raise StartError(f"the configuration can't be used: {type(error).__name__}: {error}") from error
         self.owner = Owner(settings, seed, self.limits, self.inbox, self.links, self.counters, self.log)
         self.owner.peers = self.peers
+        self._open_subset(settings)
         self.keeper = self._open_timeline(settings)
         self.stopping = asyncio.Event()
         self.fleet = self._open_fleet(settings)
@@ -147,6 +151,20 @@
         self.owner.observe(keeper.timeline, keeper.tick, self.limits.timeline_tick_us)
         return keeper
 
+    def _open_subset(self, settings: Settings) -> None:
+        """The part of the engines that we keep, where the operator's file asks for parts; else all."""
+        if self.operator is None or self.operator.subset is None:
+            return
+        from whintrail.gateway.subset import PlanError, SubsetSide, plan_of
+
+        owner, asked = self.owner, self.operator.subset
+        try:
+            free, batch_us = lambda engine: not owner.held_by(engine), asked.batch_ms * 1000
+            subset = SubsetSide(plan_of(asked), settings, self.peers, free, batch_us)
+        except PlanError as error:
+            raise StartError(str(error)) from error
+        owner.keep_part(subset, subset.turn_us)
+
     def _open_fleet(self, settings: Settings) -> "FleetPart | None":
         """The fleet, where the operator's file asks for one and gateways may talk; else it is off."""
         if self.operator is None or self.operator.fleet is None:
@@ -277,12 +295,14 @@
             await asyncio.sleep(self.limits.poll_s)
 
 
-def main() -> int:
+def main(early: list[int] | None = None) -> int:
+    """`early` takes the SIGHUPs that came before the loop handles them, where the caller has seen to them
+    since before this module was imported: none ends the program, and what they told of is read."""
     import uvloop
 
-    # Until the loop handles them: a SIGHUP never ends the program, and what it told of is read all the same.
-    early: list[int] = []
-    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    if early is None:
+        early = []
+        signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/whintrail/scale/ways.py
+++ b/whintrail/scale/ways.py
@@ -12,8 +12,9 @@
 """
 
 import time
+import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -21,7 +22,10 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from whintrail import interface as api
 from whintrail.scale.results import Sample, sample, save, this_machine
+from whintrail.subset.part import Part
+from whintrail.subset.plan import SubsetPlan
 
 Ints = NDArray[np.int64]
 Words = NDArray[np.uint64]
@@ -33,8 +37,17 @@
 TURNS += [0.19258240356725187, 0.6457513110645907, 0.16227766016837952, 0.14005494464025913]
 SIZES = [(200, 600), (1000, 4000), (4000, 15000)]
 ZONES = 19
-PACE_S, BATCH_S = 0.6, 0.5  # the fleet asks an engine so often; what is told waits so long for company
+READY = api.EngineState.READY
+PACE_S = 0.6  # the fleet asks an engine so often
+BATCHES_S = {"": 0.5, "_batch_1s": 1.0, "_batch_2s": 2.0}  # what is told waits so long for company
 HEAD_BYTES, MEMO_HEAD, SIGHTING = 28, 3, 7
+SHORT = (
+    "holders_least",
+    "holders_cv",
+    "load_cv_aware_sigma_0.5",
+    "churn_engine_goes",
+    "memo_bytes_sent_per_s",
+)
 LOAD_FLOOR, DRAW_POWER, MEAN_USED = 0.2, 3.0, 0.5  # of the module's draw; the engines' mean use
 
 
@@ -159,6 +172,15 @@
 }
 
 
+def brief(samples: list[Sample]) -> list[Sample]:
+    """What goes into the file: all of the largest size, of the others what shows how the ways go with it."""
+    most = max((one.gateways for one in samples), default=0)
+    left_out = ("load_most_plain_sigma_0", "load_most_aware_sigma_0")
+    largest = [one for one in samples if one.gateways == most and one.quantity not in left_out]
+    others = [one for one in samples if one.gateways < most and (one.kind == "core" or one.quantity in SHORT)]
+    return others + largest
+
+
 def spread(values: Floats | Ints) -> float:
     """Coefficient of variation."""
     return float(np.std(values) / max(1e-12, float(np.mean(values))))
@@ -188,8 +210,9 @@
     return np.bincount(fresh[fresh < gateways], minlength=gateways)[:gateways]
 
 
-def talk(pairs: Pairs, gateways: int, engines: int) -> tuple[Ints, float, float]:
-    """Partners of each gateway; datagrams and bytes a second that one sends (as many reach it), mean."""
+def talk(pairs: Pairs, gateways: int, engines: int) -> tuple[Ints, dict[str, tuple[float, float]]]:
+    """Partners of each gateway; and by batch the datagrams and bytes a second that one sends in the mean, as
+    many as reach it."""
     by_engine = np.argsort(pairs.engine, kind="stable")
     holders = np.bincount(pairs.engine, minlength=engines)
     keepers = np.split(pairs.gateway[by_engine], np.cumsum(holders)[:-1])
@@ -199,10 +222,74 @@
     rate = np.bincount(place, np.concatenate(rates))
     other = seen // gateways != seen % gateways
     rate, teller = rate[other], seen[other] // gateways
-    datagrams = float(np.sum(-np.expm1(-rate * BATCH_S) / BATCH_S)) / gateways
-    sightings = float(np.sum(rate)) / gateways
-    size = datagrams * (HEAD_BYTES + MEMO_HEAD) + sightings * SIGHTING
-    return np.bincount(teller, minlength=gateways), datagrams, size
+    told = float(np.sum(rate)) / gateways * SIGHTING
+    sent = {}
+    for name, batch_s in BATCHES_S.items():
+        datagrams = float(np.sum(-np.expm1(-rate * batch_s) / batch_s)) / gateways
+        sent[name] = datagrams, datagrams * (HEAD_BYTES + MEMO_HEAD) + told
+    return np.bincount(teller, minlength=gateways), sent
+
+
+def cost(gateways: int, engines: int, keep: int) -> list[Sample]:
+    """What the real `Part` takes in processor time of one gateway; and how many engines it keeps, over 40
+    gateways, where no class is bound, where repeats stay in a zone, and where they stay in a cell of 30."""
+    entries = tuple(
+        api.EngineEntry(f"10.0.{n >> 8}.{n & 255}:7000", "k", f"z{n % ZONES}", n // 570, 1.0, READY, None)
+        for n in range(engines)
+    )
+    whole = api.EngineList(api.ListKind.FULL, entries)
+    starts, deltas, size = list[float](), list[float](), list[float]()
+    for turn in range(5):
+        if not turn:
+            tracemalloc.start()
+        began = time.process_time()
+        part = Part(SubsetPlan(size=keep), given(gateways, gateways // 3, None))
+        part.listed(whole)
+        if turn:
+            starts.append((time.process_time() - began) * 1e6)
+        else:
+            size.append(float(tracemalloc.get_traced_memory()[0]))
+            tracemalloc.stop()
+        for entry in entries[turn :: len(entries) // 40] if turn else ():
+            for state in (api.EngineState.GONE, READY):
+                change = api.EngineList(api.ListKind.DELTA, (replace(entry, state=state),))
+                began = time.process_time()
+                part.listed(change)
+                deltas.append((time.process_time() - began) * 1e6)
+    found = [
+        sample("part_start_us", "us", (gateways, engines), starts, "core"),
+        sample("part_delta_us", "us", (gateways, engines), deltas, "core"),
+        sample("part_bytes", "bytes", (gateways, engines), size, "core"),
+    ]
+    kinds = {"free": None, "keyed_zone": api.DedupGroup.ZONE, "keyed_cell": api.DedupGroup.CELL}
+    for text, group in kinds.items():
+        sizes, holders = list[float](), list[float]()
+        for me in range(0, gateways, gateways // 40):
+            part = Part(SubsetPlan(size=keep), given(gateways, me, group))
+            part.listed(whole)
+            sizes.append(float(len(part.shown)))
+            holders += [float(count or gateways) for count, _ in part.shown.values()]
+        found.append(sample(f"part_engines_{text}", "count", (gateways, engines), sizes, "core"))
+        found.append(sample(f"part_holders_{text}", "count", (gateways, engines), holders, "core"))
+    return [msgspec.structs.replace(one, subset=keep, note="whintrail.subset.part.Part") for one in found]
+
+
+def given(gateways: int, me: int, group: api.DedupGroup | None) -> api.Settings:
+    """Settings that leave a `Part` nothing to heed but the fleet and, perhaps, one keyed class."""
+    keyed = api.QueryClass(
+        name="keyed", aim_us=1, aim_stretch=1.0, deadline_us=1, effect=api.Effect.BY_KEY,
+        group=group or api.DedupGroup.ALL, window_us=1, worth=1.0, late_share=0.0, in_order=False, zones=None,
+        kinds=None, threads=1, is_load=False, waits_for_load=False,
+    )  # fmt: skip
+    return api.Settings(
+        fleet_size=gateways, me=me, zone="z0", classes=(keyed,), tenants=(), kind_cores={},
+        kind_memory_mb={}, max_grant_share=1, grants_heeded=False, priorities_heeded=False, tells_cost=False,
+        progress_us=0, reports_by=api.ReportsBy.PROBES, probes_allowed=True, cancel_allowed=True,
+        second_copies=False, peers_allowed=True, retry_after=True, max_retry_after_us=0, max_attempts=None,
+        max_open=None, keepalive_us=0, tick_us=5000, list_on_request=False, must_ask_us=None, cold_us=0,
+        start_capacity=1.0, tip_multiple=None, tip_after_us=0, order_settle_us=0, budget_share=None,
+        budget_free=0.0, budget_window_us=0, price_cross_zone=0.0,
+    )  # fmt: skip
 
 
 def judge(name: str, gateways: int, engines: int, keep: int) -> list[Sample]:
@@ -262,10 +349,11 @@
         add(f"orphans_{text}", "count", int((np.bincount(rest.engine, minlength=engines) == 0).sum()))
         add(f"load_most_{text}", "share", float(loads(rest, traffic, engines, aware=False).max()))
         add(f"load_most_aware_{text}", "share", float(loads(rest, traffic, engines, aware=True).max()))
-    partners, datagrams, sent = talk(pairs, gateways, engines)
+    partners, sent = talk(pairs, gateways, engines)
     add("memo_partners", "count", *partners[:: max(1, gateways // 200)])
-    add("memo_datagrams_sent_per_s", "datagrams/s", datagrams)
-    add("memo_bytes_sent_per_s", "bytes/s", sent)
+    for batch, (datagrams, size_sent) in sent.items():
+        add(f"memo_datagrams_sent_per_s{batch}", "datagrams/s", datagrams)
+        add(f"memo_bytes_sent_per_s{batch}", "bytes/s", size_sent)
     return found
 
 
@@ -293,4 +381,6 @@
                 raise SystemExit(1)
             click.echo(f"{gateways} x {engines}: {name}", err=True)
             samples += judge(name, gateways, engines, size)
-    save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, samples, note)
+        if gateways <= most:
+            samples += cost(gateways, engines, size)
+    save(path, f"whintrail scale ways --size {size} --most {most}", began, machine, brief(samples), note)
