Name a constant where no slope is sure, and draw none of it out; exponents near 0 name no power

Memos heard against gateways, 10 to 200: 92 + 0.031 +- 0.022 x; drawn out to 4,000 that said 215 instead of 94.

--- a/tests/test_scale_fitting.py
+++ b/tests/test_scale_fitting.py
@@ -57,6 +57,16 @@
     assert named(lambda x: 1.0 if x % 800 else 50.0).startswith("no line")
 
 
+def test_a_slope_that_may_be_none_is_not_drawn_out() -> None:
+    """Scatter about one level: far out it is still that level, and the interval is no wider."""
+    scatter = dict(zip(SIZES[:5], (100.0, 97.0, 102.0, 99.0, 104.0), strict=True))
+    found = fit(samples(lambda x: scatter[x], SIZES[:5]), "cost_us", "engines")
+    assert found.form == "constant"
+    value, low, high = found.at(1_000_000)
+    assert value == found.at(20)[0] == pytest.approx(100, abs=2)
+    assert 80 < low < high < 120
+
+
 def test_a_value_of_zero_is_no_surer_than_the_others() -> None:
     found = fit(samples(lambda x: max(0.0, 2.0 * x - 40)), "cost_us", "engines")  # 0 at the first size
     assert found.form == "linear"
--- a/whintrail/scale/fitting.py
+++ b/whintrail/scale/fitting.py
@@ -20,7 +20,7 @@
 FLOOR = 0.02  # of the value: a size's median is never trusted better
 WITHIN = 0.15  # of the value: what lies further off the curve at some size is no such curve
 LOOSELY = 0.3  # the same for a line of which nothing says that it is another curve
-BENT = 0.1  # an exponent as near to 1 names no power
+BENT = 0.1  # an exponent as near to 0 or 1 names no power
 MATTERS = 0.1  # of the line's rise: a quadratic term below it is not spoken of
 FLAT = 0.05  # of the value: a rise below it over all sizes is none
 JUMP = 0.9  # of the whole rise, between two neighbouring sizes: a step
@@ -221,8 +221,14 @@
     straight = _polynomial(line, noise)
     rise = abs(float(line.found[1])) * float(sizes.max() - sizes.min())
     distinct = len(np.unique(sizes))
-    if bool((relative <= allowed).all()) and rise <= FLAT * float(np.abs(values).mean()):
-        return "constant", straight
+    mean = float(np.abs(values).mean())
+    rises = abs(float(line.found[1])) > student(line.freedom) * line.error(1)
+    if bool((relative <= allowed).all()) and rise <= FLAT * mean and rises:
+        return "constant", straight  # but for a little that is sure
+    flat = least_squares(np.ones((len(sizes), 1)), values, errors)
+    level = float(flat.found[0])
+    if not rises and rise <= LOOSELY * mean and bool((np.abs(values - level) <= allowed * abs(level)).all()):
+        return "constant", _polynomial(flat, noise)  # further out a slope that may be none would say much
     bent = None
     if distinct >= 4:
         bent = least_squares(np.stack([np.ones_like(sizes), sizes, sizes**2], axis=1), values, errors)
@@ -232,7 +238,7 @@
             bent = None
     if bool((relative <= allowed).all()) and bent is None:
         return "linear" if distinct > 2 else "linear, of two sizes", straight
-    away = abs(float(power.found[1]) - 1) if power is not None else 0.0
+    away = min(abs(float(power.found[1])), abs(float(power.found[1]) - 1)) if power is not None else 0.0
     if power is not None and away > max(BENT, 2 * power.error(1)):
         curve = _power(power, noise)
         off = np.array([abs(curve(float(x))[0] / y - 1) for x, y in zip(sizes, values, strict=True)])
@@ -251,8 +257,9 @@
         return f"step between {low} and {high}", _between(np.unique(sizes), levels, float(relative.max()))
     bound = float(relative.max())
     if bound <= LOOSELY:
-        rises = abs(float(line.found[1])) > student(line.freedom) * line.error(1)
-        return f"{'linear' if rises else 'constant'}, within {bound:.0%}", straight
+        if rises or rise > LOOSELY * mean:
+            return f"linear, within {bound:.0%}", straight
+        return f"constant, within {bound:.0%}", _polynomial(flat, noise)
     return f"no line: off by up to {bound:.0%}", _between(np.unique(sizes), levels, bound)
 
 
