--- a/whintrail/scale/simulate.py
+++ b/whintrail/scale/simulate.py
@@ -42,6 +42,7 @@
 MEAN_CHANGES_PER_S = 64_000 / 86_400
 POLL_S = 0.05
 SIZES = "50,100,200,400,800,1600,4000"
+PARTS = ("quiet", "changes", "bounds", "losses", "slots", "mean", "ten times")
 
 # What a second from a start costs, for a checkout with any version of the cores.
 COST = """
@@ -73,6 +74,7 @@
     seconds: float  # of simulated time in the quiet part
     cpu_s: float
     memory_mb: int
+    parts: tuple[str, ...]
 
 
 @dataclass(slots=True)
@@ -181,8 +183,9 @@
             ("mean", partial(self.rate, MEAN_CHANGES_PER_S, "0.74/s")),
             ("ten times", partial(self.rate, 10 * MEAN_CHANGES_PER_S, "7.4/s")),
         ):
-            self.tell(f"{self.count} gateways, seed {self.job.seed}: {name}")
-            part()
+            if name in self.job.parts or name == "start":
+                self.tell(f"{self.count} gateways, seed {self.job.seed}: {name}")
+                part()
 
     def lead(self) -> int:
         leader = self.world.leader()
@@ -511,6 +514,7 @@
 @click.option("--gateways", default=SIZES, show_default=True, callback=numbers, help="sizes")
 @click.option("--seconds", default=15.0, show_default=True, help="of simulated time, of a quiet fleet")
 @click.option("--seeds", default=2, show_default=True)
+@click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="only these; as it comes, all")
 @click.option("--jobs", default=2, show_default=True, help="processes at once")
 @click.option("--cpu-seconds", default=900.0, show_default=True, help="of one process, at most")
 @click.option("--memory-mb", default=6000, show_default=True, help="of one process, at most")
@@ -521,6 +525,7 @@
     gateways: list[int],
     seconds: float,
     seeds: int,
+    parts: tuple[str, ...],
     jobs: int,
     cpu_seconds: float,
     memory_mb: int,
@@ -546,11 +551,8 @@
         command = "whintrail scale " + " ".join(["simulate", *sys.argv[3:]])
         save(to, command, began, machine, taken, "; ".join(said))
 
-    todo = [
-        Job(count, seed, seconds, cpu_seconds, memory_mb)
-        for count in gateways
-        for seed in range(1, seeds + 1)
-    ]
+    bounds = cpu_seconds, memory_mb, parts or PARTS
+    todo = [Job(count, seed, seconds, *bounds) for count in gateways for seed in range(1, seeds + 1)]
     for job, got in spread(todo, jobs):
         into = found.setdefault(job.gateways, Found())
         for key, values in got.values.items():
