Keep what a simulated play has had after each of its parts

Need: a play of 4,000 gateways that was ended from outside had lost all its figures. Each part's figures are written as it ends.

--- a/whintrail/scale/simulate.py
+++ b/whintrail/scale/simulate.py
@@ -146,7 +146,7 @@
 class Play:
     """One size with one seed; `found` holds what was had when a bound ended it."""
 
-    def __init__(self, job: Job, found: Found, tell: Callable[[str], None]) -> None:
+    def __init__(self, job: Job, found: Found, tell: Callable[[str | Found], None]) -> None:
         self.job, self.found, self.tell, self.random = job, found, tell, Random(job.seed)
         self.count = job.gateways
         began = time.process_time()
@@ -186,6 +186,7 @@
             if name in self.job.parts or name == "start":
                 self.tell(f"{self.count} gateways, seed {self.job.seed}: {name}")
                 part()
+                self.tell(self.found)  # what was had so far is kept, whatever ends this process
 
     def lead(self) -> int:
         leader = self.world.leader()
@@ -439,16 +440,18 @@
     gc.disable()  # millions of members, and nothing in a circle that matters in a run so short
     found = Found()
     try:
-        Play(job, found, lambda text: pipe.send(text)).whole()
+        Play(job, found, pipe.send).whole()
     except BoundError as error:
         found.said.append(f"{job.gateways} gateways, seed {job.seed}, ended early: {error}")
     except KeyboardInterrupt:
         return
     pipe.send(found)
+    pipe.close()
 
 
 def spread(jobs: list[Job], at_once: int) -> Iterator[tuple[Job, Found]]:
-    """Each in a process of its own, which ends with this one whatever happens."""
+    """Each in a process of its own, which ends with this one whatever happens. A job's newest figures come
+    after each part of it, in place of those before."""
     waiting, running = deque(jobs), dict[Connection, tuple[Job, SpawnProcess]]()
     context = multiprocessing.get_context("spawn")
     try:
@@ -466,13 +469,13 @@
                 try:
                     got = pipe.recv()
                 except EOFError:
-                    got = Found(said=[f"{job.gateways} gateways, seed {job.seed}: the process ended"])
+                    process.join(10)
+                    del running[pipe]
+                    continue
                 if isinstance(got, str):
                     click.echo(got, err=True)
-                    continue
-                yield job, got
-                process.join(10)
-                del running[pipe]
+                else:
+                    yield job, got
     finally:
         for _, process in running.values():
             process.terminate()
@@ -536,16 +539,20 @@
     """Whole fleets in simulated time: what members and the leader send, and how long changes take."""
     began, machine = time.time(), this_machine()
     samples: list[Sample] = []
-    said: list[str] = []
     if before is not None:
         samples += costs(before, cost_sizes, 3, "before, from a start")
         samples += costs(Path(__file__).parents[2], cost_sizes, 3, "after, from a start")
-    found: dict[int, Found] = {}
+    found: dict[tuple[int, int], Found] = {}
 
     def write() -> None:
-        taken = list(samples)
-        for count, one in sorted(found.items()):
-            for (quantity, unit, role, day, note), values in one.values.items():
+        taken, said = list(samples), list[str]()
+        for count in sorted({count for count, _ in found}):
+            together = Found()
+            for place in sorted(place for place in found if place[0] == count):
+                said += found[place].said
+                for key, values in found[place].values.items():
+                    together.values.setdefault(key, []).extend(values)
+            for (quantity, unit, role, day, note), values in together.values.items():
                 made = sample(quantity, unit, (count, 0), values, KIND)
                 taken.append(replace_note(made, role=role, day=day, note=note))
         command = "whintrail scale " + " ".join(["simulate", *sys.argv[3:]])
@@ -554,12 +561,9 @@
     bounds = cpu_seconds, memory_mb, parts or PARTS
     todo = [Job(count, seed, seconds, *bounds) for count in gateways for seed in range(1, seeds + 1)]
     for job, got in spread(todo, jobs):
-        into = found.setdefault(job.gateways, Found())
-        for key, values in got.values.items():
-            into.values.setdefault(key, []).extend(values)
-        for line in got.said:
-            said.append(line)
-            click.echo(line, err=True)
+        found[job.gateways, job.seed] = got
         write()
     write()
-    click.echo(f"{to}: {len(found)} sizes", err=True)
+    for line in [line for one in found.values() for line in one.said]:
+        click.echo(line, err=True)
+    click.echo(f"{to}: {len(found)} plays", err=True)
