Ways of subsetting and files of before a mend on the page; no place of a machine in a command

Need: what the mechanism was chosen among stands beside before and after. The command in simulated-unmended.json named directories of one machine; its file names are kept. tests/test_capacity.py, tests/test_capacity_page.py: 47 passed.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -398,3 +398,18 @@
     high = replace(row("clients"), value=lambda s: wide, budget=1.0)
     assert capacity.find(high, Figures([])).passed
     assert not capacity.find(replace(high, budget=50.0), Figures([])).passed
+
+
+def test_what_only_a_file_of_before_has_is_fitted_all_the_same(tmp_path: Path) -> None:
+    results(tmp_path, "simulated-unmended.json", line("slot_s", 1.0, over="gateways", kind="simulated"), 0.0)
+    assert len(tables.fitted(read_results(tmp_path))) == len(GATEWAYS)
+    results(tmp_path, "simulated.json", line("slot_s", 0.5, over="gateways", kind="simulated")[:2], 1.0)
+    assert len(tables.fitted(read_results(tmp_path))) == 2
+
+
+def test_ways_of_subsetting_stand_by_name_at_the_largest_size() -> None:
+    base = changed(wanted(600), quantity="holders_least", kind="simulated", subset=80, note="ring", value=3.0)
+    large = changed(base, gateways=4000, engines=15_000, value=20.0)
+    text = tables.ways([base, large, changed(large, note="rounds", value=19.0)])
+    assert "| ring | 20 | -" in text and "| rounds | 19 | -" in text and "| 3 |" not in text
+    assert tables.ways([]) == "not measured: holders_least"
--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -51,6 +51,8 @@
 def _links(s: Size) -> Estimate:
     """Engines that statements drawn evenly reach within the time that an idle link is kept."""
     drawn = STATEMENTS * given("keepalive_s")
+    if s.figures.subset:  # of those that it keeps
+        return s.measured("part_engines_free", "engines")
     return exactly(s.engines * -math.expm1(-drawn / s.engines))
 
 
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -1,6 +1,7 @@
 """The tables of docs/CAPACITY.md as text: by name, from samples and predictions alone. Pure."""
 
 import math
+import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from msgspec import Struct
@@ -353,6 +354,35 @@
     return table(head, body) if body else f"{NOT_MEASURED}: no file has samples with a subset."
 
 
+# Of the ways to give each gateway a part of the engines, what `whintrail scale ways` says of the largest size.
+WAYS = {
+    "holders_least": "holders of an engine, least",
+    "holders_most": "most",
+    "load_most_aware_sigma_0.5": "most load on one, over the mean",
+    "orphans_block": "engines of nobody, a zone of gateways gone",
+    "churn_engine_goes": "engines begun with, one engine gone",
+    "churn_zone_goes": "a zone of engines gone",
+    "churn_fleet_grows_tenth": "a tenth more gateways",
+    "memo_partners": "gateways to talk to",
+    "memo_bytes_sent_per_s": "bytes/s of memos sent",
+}
+
+
+def ways(samples: Sequence[Sample]) -> str:
+    found = [s for s in samples if s.quantity in WAYS and s.subset and s.note]
+    if not found:
+        return f"{NOT_MEASURED}: holders_least"
+    size = max((s.gateways, s.engines) for s in found)
+    cells = {(s.note, s.quantity): s for s in found if (s.gateways, s.engines) == size}
+    body = []
+    for note in dict.fromkeys(note for note, _ in cells):
+        row = [cells.get((note, name)) for name in WAYS]
+        body.append([note, *(number(s.value) if s is not None else NONE for s in row)])
+    at = f"way; {size[0]:,} gateways, {size[1]:,} engines, {found[0].subset} kept"
+    return table([at, *WAYS.values()], body)
+
+
+COMMAND_PLACE = re.compile(r"(?<=\s)/\S*/")  # of one machine: files' names are enough
 REGIONS = {
     "apart_asked": "changes asked for during the cut",
     "apart_settled": "of these came into force",
@@ -447,26 +477,44 @@
     for name, r in results.items():
         load = f"{number(r.machine.load)} on {r.machine.cores} cores"
         body.append(
-            (name, f"`{r.command}`", r.commit, r.taken_at, f"{number(r.took_s)} s", load, str(len(r.samples)))
+            (
+                name,
+                f"`{COMMAND_PLACE.sub('', r.command)}`",
+                r.commit,
+                r.taken_at,
+                f"{number(r.took_s)} s",
+                load,
+                str(len(r.samples)),
+            )
         )
     return table(head, body) if body else "No file yet."
 
 
-FOUND, BEFORE = "found-", "before-"
+FOUND = "found-"
+
+
+def older(name: str) -> bool:
+    """Whether a file is of a program that was mended since: before-NAME.json, or NAME-unmended.json."""
+    return name.startswith("before-") or name.endswith("-unmended.json")
 
 
 def fitted(results: Mapping[str, Results]) -> list[Sample]:
-    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them, and
-    `before-*.json`, which were taken of a program that was mended since."""
-    return [s for name, r in results.items() if not name.startswith((FOUND, BEFORE)) for s in r.samples]
+    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them; and
+    of files of before a mend only the quantities that no file of today has."""
+    now = [
+        s for name, r in results.items() if not name.startswith(FOUND) and not older(name) for s in r.samples
+    ]
+    known = {(s.quantity, s.kind) for s in now}
+    then = [s for name, r in results.items() if older(name) for s in r.samples]
+    return now + [s for s in then if (s.quantity, s.kind) not in known]
 
 
 MENDED = 1.5  # times less, at the greatest size that both have, is worth a line
 
 
 def mendings(results: Mapping[str, Results], uses: Iterable[Use]) -> str:
-    """Quantities of which `before-*.json` has others than the files of today."""
-    then = Figures([s for name, r in results.items() if name.startswith(BEFORE) for s in r.samples])
+    """Quantities that files of before a mend have otherwise than the files of today."""
+    then = Figures([s for name, r in results.items() if older(name) for s in r.samples])
     now, body = Figures(fitted(results)), list[list[str]]()
     for use in uses:
         try:
@@ -474,7 +522,7 @@
         except capacity.NotMeasured:
             continue
         common = [size for size in old.sizes if size in new.sizes]
-        if not common or old.at(common[-1])[0] < MENDED * new.at(common[-1])[0]:
+        if not common or not old.at(common[-1])[0] > MENDED * new.at(common[-1])[0] > 0:
             continue
         size = f"{common[-1]:,} {use.grows_with}"
         was, now_is = (quantity(fit.at(common[-1])[0], fit.unit) for fit in (old, new))
@@ -521,9 +569,10 @@
         "ranking": lambda: ranking(found),
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
+        "ways": lambda: ways(samples),
         "mendings": lambda: mendings(results, uses),
         "agreement": lambda: agreement(samples, figures),
-        "simulation": lambda: simulation(samples),
+        "simulation": lambda: simulation([s for r in results.values() for s in r.samples]),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
     }
