--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -321,8 +321,9 @@
 
 
 def test_files_of_before_stand_beside_those_of_now_and_are_in_no_fit(tmp_path: Path) -> None:
+    (tmp_path / "before").mkdir()
     results(
-        tmp_path, "before-x.json", line("module_refresh_us", 35.0) + line("module_memo_us", 0.0, 8.0), 0.0
+        tmp_path, "before/x.json", line("module_refresh_us", 35.0) + line("module_memo_us", 0.0, 8.0), 0.0
     )
     results(tmp_path, "x.json", line("module_refresh_us", 3.5) + line("module_memo_us", 0.0, 8.0), 1.0)
     uses = [capacity.Use("module_refresh_us", "engines"), capacity.Use("module_memo_us", "engines")]
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -33,8 +33,10 @@
 
 
 def read_results(folder: Path) -> dict[str, Results]:
-    """All files of results, by name. Errors: ResultsError."""
-    return {path.name: load(path) for path in sorted(folder.glob("*.json")) if path.name not in OURS}
+    """All files of results, by name, those under before/ too. Errors: ResultsError."""
+    paths = {path.name: path for path in sorted(folder.glob("*.json")) if path.name not in OURS}
+    paths |= {f"before/{path.name}": path for path in sorted(folder.glob("before/*.json"))}
+    return {name: load(path) for name, path in paths.items()}
 
 
 def read_foretold(folder: Path) -> list[Prediction]:
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -354,7 +354,7 @@
     return table(head, body) if body else f"{NOT_MEASURED}: no file has samples with a subset."
 
 
-# Of the ways to give each gateway a part of the engines, what `whintrail scale ways` says of the largest size.
+# Of ways to give each gateway a part of the engines, as `whintrail scale ways` says of the largest size.
 WAYS = {
     "holders_least": "holders of an engine, least",
     "holders_most": "most",
@@ -418,14 +418,19 @@
 
 def _both_ways(s: Size) -> float | None:
     heard, sent = _hollow(s, "bytes_in_per_s"), _hollow(s, "bytes_out_per_s")
-    return heard + sent if heard is not None and sent is not None else None
+    return heard + sent if heard is not None and sent is not None and _memos(s) else None
+
+
+def _memos(s: Size) -> float | None:
+    """None where the run had none: large ones leave them out."""
+    return _hollow(s, "memo_datagrams_per_s") or None
 
 
 AGREEMENT: tuple[tuple[str, str, Callable[[Size], float | None], Callable[[Size], Estimate]], ...] = (
     (
         "memos heard; cores played together",
         "datagrams/s",
-        lambda s: _hollow(s, "memo_datagrams_per_s"),
+        _memos,
         lambda s: s.measured("memo_datagrams_per_s", "engines"),
     ),
     (
@@ -494,8 +499,8 @@
 
 
 def older(name: str) -> bool:
-    """Whether a file is of a program that was mended since: before-NAME.json, or NAME-unmended.json."""
-    return name.startswith("before-") or name.endswith("-unmended.json")
+    """Whether a file is of a program that was mended since: before/NAME.json, or NAME-unmended.json."""
+    return name.startswith("before/") or name.endswith("-unmended.json")
 
 
 def fitted(results: Mapping[str, Results]) -> list[Sample]:
