--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -21,8 +21,9 @@
 Grows = Literal["engines", "gateways"]
 Along = Literal["engines", "gateways", "both", "neither"]
 Stat = Literal["value", "high"]
-# What no subset of engines touches: membership, agreement, and the list until it is read.
-UNTOUCHED = (
+# What no subset of engines touches: membership, agreement, the list until it is read. The gateway's update it
+# lessens: without a figure of its own, that of all engines is the most.
+UNTOUCHED: tuple[str, ...] = (
     "membership_",
     "node_",
     "log_",
@@ -32,6 +33,7 @@
     "list_digest_",
     "leader_",
 )
+UNTOUCHED += ("gateway_update_",)
 WIDE = 2.0  # times the value: a range wider than that says that the sizes taken don't tell
 BEYOND = 10.0  # sizes are looked through up to so many times the one that is coming
 
@@ -209,6 +211,12 @@
     missing: str  # the quantity that was not measured; empty where none is
     crossing: Crossing | None
     used: tuple[Use, ...]
+    beyond: bool = False  # the sizes at which what it rests on was taken
+
+    @property
+    def untold(self) -> bool:
+        """Beyond the sizes taken, and its range tells nothing."""
+        return self.value is not None and self.beyond and self.value.wide
 
     @property
     def passed(self) -> bool:
@@ -217,7 +225,7 @@
         if self.value is None or self.row.budget is None or self.value.value <= self.row.budget:
             return False
         sure = self.crossing is not None and self.crossing.sure
-        return not self.value.wide or self.value.low > self.row.budget or sure
+        return not self.untold or self.value.low > self.row.budget or sure
 
     @property
     def share(self) -> float | None:
@@ -324,6 +332,15 @@
     return value(Size(*at, figures)), at
 
 
+def is_beyond(size: Size) -> bool:
+    """Whether the size is greater than any at which something was taken that was asked for at it."""
+    for use in size.used:
+        with suppress(NotMeasured):  # another was taken in its place
+            if max(size.figures.fit(use).sizes) < getattr(size, use.grows_with):
+                return True
+    return False
+
+
 def find(row: Row, figures: Figures, size: tuple[float, float] | None = None) -> Found:
     at = Size(*(size or coming()), figures)
     try:
@@ -331,7 +348,7 @@
         where = crossing(row, figures) if row.budget is not None else None
     except NotMeasured as error:
         return Found(row, None, str(error), None, tuple(at.used))
-    return Found(row, value, "", where, tuple(at.used))
+    return Found(row, value, "", where, tuple(at.used), is_beyond(at))
 
 
 # --- The ranking.
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -363,7 +363,7 @@
 
 def _checked(f: Found) -> dict[str, object]:
     verdict = "not measured: " + f.missing if f.value is None else "passed" if f.passed else "holds"
-    if f.value is not None and f.value.wide and not f.passed and f.row.budget is not None:
+    if f.untold and not f.passed and f.value is not None and f.row.budget is not None:
         verdict = "not told" if f.value.high > f.row.budget else "holds"
     value = f.value.value if f.value is not None else None
     shown: dict[str, object] = {
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -14,6 +14,7 @@
     at_taken,
     coming,
     exactly,
+    is_beyond,
     per_s,
 )
 from whintrail.scale.inputs import value as given
@@ -41,22 +42,30 @@
     missing: str
     used: tuple[Use, ...] = ()
     taken: tuple[Estimate, tuple[float, float]] | None = None  # at the greatest size of what it rests on
+    beyond: bool = False  # the sizes at which what it rests on was taken
+
+    @property
+    def untold(self) -> bool:
+        """Beyond the sizes taken, and its range tells nothing."""
+        return self.value is not None and self.beyond and self.value.wide
 
     @property
     def passed(self) -> bool:
         budget = self.fact.budget
         if self.value is None or budget is None:
             return False
-        if self.value.wide and self.taken is not None:
+        if self.untold and self.taken is not None:
             return self.taken[0].value > budget  # there already
-        return self.value.value > budget and (not self.value.wide or self.value.low > budget)
+        return self.value.value > budget
 
 
 def reckon(fact: Fact, figures: Figures, size: tuple[float, float] | None = None) -> Reckoned:
     at = Size(*(size or coming()), figures)
     try:
         value = fact.value(at)
-        return Reckoned(fact, value, "", tuple(at.used), at_taken(fact.value, at.used, figures))
+        return Reckoned(
+            fact, value, "", tuple(at.used), at_taken(fact.value, at.used, figures), is_beyond(at)
+        )
     except NotMeasured as error:
         return Reckoned(fact, None, str(error), tuple(at.used))
 
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -92,11 +92,12 @@
     used: Sequence[Use],
     figures: Figures,
     reckon: Callable[[Size], Estimate],
+    untold: bool,
 ) -> str:
     """The cell of a value at the size that is coming; where its fits were taken at smaller sizes only, so."""
     if value is None:
         return f"{NOT_MEASURED}: {missing}"
-    if value.wide:
+    if untold:
         there, (gateways, engines) = capacity.at_taken(reckon, used, figures)
         along = {use.grows_with for use in used}
         sizes = [f"{gateways:,.0f} gateways"] * ("gateways" in along)
@@ -128,6 +129,8 @@
         gateways, engines = capacity.on_the_way(_both_share(x))
         return f"{number(gateways)} and {number(engines)}"
 
+    if along == "both" and crossing.size <= 1:
+        return "at any size"
     if crossing.below and crossing.taken is not None:
         return f"below {crossing.taken[0]:,} {along}, the least taken"
     text = size(crossing.size) if crossing.sure else f"unsure: {size(crossing.size)}"
@@ -190,9 +193,9 @@
     body = []
     for f in found:
         row = f.row
-        value = told(f.value, f.missing, row.unit, f.used, figures, row.value)
+        value = told(f.value, f.missing, row.unit, f.used, figures, row.value, f.untold)
         budget = row.budget_name or "none set"
-        used = f"{number(100 * f.share)}%" if f.share is not None and f.value and not f.value.wide else NONE
+        used = f"{number(100 * f.share)}%" if f.share is not None and not f.untold else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
         body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places), crossing))
     return table(head, body)
@@ -228,9 +231,9 @@
     body = []
     for r in facts:
         fact = r.fact
-        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value)
+        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value, r.untold)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
-        if fact.budget is not None and r.value is not None and r.value.wide:
+        if fact.budget is not None and r.untold:
             holds = "**no**, there already" if r.passed else NOT_TOLD
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
@@ -344,10 +347,10 @@
         own = row in rows.SUBSET_ROWS
         was = NONE if own or before.value is None else quantity(before.value.value, row.unit)
         cells = [row.key, row.budget_name or NONE, was, NONE if own else where(row.along, before.crossing)]
-        for f in after:
+        for f, figures in zip(after, kept, strict=True):
             cells += [
-                ranged(f.value, row.unit) if f.value else f"{NOT_MEASURED}: {f.missing}",
-                f"{number(100 * f.share)}%" if f.share is not None else NONE,
+                told(f.value, f.missing, row.unit, f.used, figures, row.value, f.untold),
+                f"{number(100 * f.share)}%" if f.share is not None and not f.untold else NONE,
                 where(row.along, f.crossing),
             ]
         body.append(cells)
@@ -506,12 +509,21 @@
 def fitted(results: Mapping[str, Results]) -> list[Sample]:
     """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them; and
     of files of before a mend only the quantities that no file of today has."""
-    now = [
-        s for name, r in results.items() if not name.startswith(FOUND) and not older(name) for s in r.samples
-    ]
+    names = [name for name in results if not name.startswith(FOUND)]
+    now = [s for name in names if not older(name) for s in results[name].samples]
     known = {(s.quantity, s.kind) for s in now}
-    then = [s for name, r in results.items() if older(name) for s in r.samples]
-    return now + [s for s in then if (s.quantity, s.kind) not in known]
+    then = [s for name in names if older(name) for s in results[name].samples]
+    return _with_memos(now) + [s for s in then if (s.quantity, s.kind) not in known]
+
+
+def _with_memos(samples: Sequence[Sample]) -> list[Sample]:
+    """Without the sums of hollow gateways in runs that left memos out, as large ones do."""
+    sums = ("control_cpu_share", "bytes_in_per_s", "bytes_out_per_s")
+    hollow = [s for s in samples if s.kind == "hollow" and s.role == "gateway"]
+    none = [s for s in hollow if s.quantity == "memo_datagrams_per_s" and not s.value]
+    quiet = {(s.gateways, s.engines, s.subset) for s in none}
+    left = {id(s) for s in hollow if s.quantity in sums and (s.gateways, s.engines, s.subset) in quiet}
+    return [s for s in samples if id(s) not in left]
 
 
 MENDED = 1.5  # times less, at the greatest size that both have, is worth a line
