--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -414,3 +414,22 @@
     text = tables.ways([base, large, changed(large, note="rounds", value=19.0)])
     assert "| ring | 20 | -" in text and "| rounds | 19 | -" in text and "| 3 |" not in text
     assert tables.ways([]) == "not measured: holders_least"
+
+
+def test_hollow_runs_without_memos_are_in_no_sum(tmp_path: Path) -> None:
+    busy = line("control_cpu_share", 1e-4, kind="hollow") + line("memo_datagrams_per_s", 1.2, kind="hollow")
+    quiet = [
+        changed(s, value=0.0) if s.engines == 5000 and s.quantity.startswith("memo") else s for s in busy
+    ]
+    results(tmp_path, "x.json", quiet, 0.0)
+    sizes = {s.engines for s in tables.fitted(read_results(tmp_path)) if s.quantity == "control_cpu_share"}
+    assert sizes == set(ENGINES) - {5000}
+
+
+def test_a_wide_range_within_the_sizes_taken_stands_as_it_is() -> None:
+    wide = [changed(s, value=3.0 + s.engines % 3) for s in line("module_refresh_us", 0.0, 3.0, spread=0.9)]
+    wide.append(changed(wide[0], engines=15_000, value=9.0))
+    found = capacity.find(row("refresh_cpu"), Figures(wide))
+    assert not found.beyond and not found.untold
+    sooner = capacity.find(row("refresh_cpu"), Figures([s for s in wide if s.engines < 15_000]))
+    assert sooner.beyond
