--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -211,7 +211,7 @@
 def test_a_value_beyond_the_sizes_it_was_taken_at_says_so() -> None:
     figures = Figures(line("module_refresh_us", 3.5))
     found = capacity.find(row("refresh_cpu"), figures)
-    text = tables.told(found.value, "", "share", found.used, figures, found.row.value)
+    text = tables.told(found.value, "", "share", found.used, figures, found.row.value, found.untold)
     assert text.endswith("foretold: module_refresh_us was taken up to 5,000 engines")
 
 
@@ -321,8 +321,9 @@
 
 
 def test_files_of_before_stand_beside_those_of_now_and_are_in_no_fit(tmp_path: Path) -> None:
+    (tmp_path / "before").mkdir()
     results(
-        tmp_path, "before-x.json", line("module_refresh_us", 35.0) + line("module_memo_us", 0.0, 8.0), 0.0
+        tmp_path, "before/x.json", line("module_refresh_us", 35.0) + line("module_memo_us", 0.0, 8.0), 0.0
     )
     results(tmp_path, "x.json", line("module_refresh_us", 3.5) + line("module_memo_us", 0.0, 8.0), 1.0)
     uses = [capacity.Use("module_refresh_us", "engines"), capacity.Use("module_memo_us", "engines")]
@@ -371,18 +372,18 @@
         curve=lambda x: (x, 1.5 * x),
     )
     found = capacity.find(row("refresh_cpu"), figures)
-    assert value_of(found).wide and not found.passed
+    assert found.untold and not found.passed
     assert not crossing_of(found).sure and capacity.failing([found]) == []
     assert tables.where("engines", found.crossing).startswith("unsure: ")
-    text = tables.told(found.value, "", "share", found.used, figures, found.row.value)
+    text = tables.told(found.value, "", "share", found.used, figures, found.row.value, found.untold)
     assert text == "not told by its sizes; 0.0400% at 80 engines"
 
 
 def test_a_curve_below_0_tells_nothing() -> None:
     falling = Figures(line("module_refresh_us", -1.0, 6000.0))
     found = capacity.find(row("refresh_cpu"), falling)
-    assert value_of(found).wide and not found.passed
-    assert tables.told(found.value, "", "share", found.used, falling, found.row.value) == (
+    assert found.untold and not found.passed
+    assert tables.told(found.value, "", "share", found.used, falling, found.row.value, found.untold) == (
         "not told by its sizes; 0.500% at 5,000 engines"
     )
 
@@ -398,3 +399,37 @@
     high = replace(row("clients"), value=lambda s: wide, budget=1.0)
     assert capacity.find(high, Figures([])).passed
     assert not capacity.find(replace(high, budget=50.0), Figures([])).passed
+
+
+def test_what_only_a_file_of_before_has_is_fitted_all_the_same(tmp_path: Path) -> None:
+    results(tmp_path, "simulated-unmended.json", line("slot_s", 1.0, over="gateways", kind="simulated"), 0.0)
+    assert len(tables.fitted(read_results(tmp_path))) == len(GATEWAYS)
+    results(tmp_path, "simulated.json", line("slot_s", 0.5, over="gateways", kind="simulated")[:2], 1.0)
+    assert len(tables.fitted(read_results(tmp_path))) == 2
+
+
+def test_ways_of_subsetting_stand_by_name_at_the_largest_size() -> None:
+    base = changed(wanted(600), quantity="holders_least", kind="simulated", subset=80, note="ring", value=3.0)
+    large = changed(base, gateways=4000, engines=15_000, value=20.0)
+    text = tables.ways([base, large, changed(large, note="rounds", value=19.0)])
+    assert "| ring | 20 | -" in text and "| rounds | 19 | -" in text and "| 3 |" not in text
+    assert tables.ways([]) == "not measured: holders_least"
+
+
+def test_hollow_runs_without_memos_are_in_no_sum(tmp_path: Path) -> None:
+    busy = line("control_cpu_share", 1e-4, kind="hollow") + line("memo_datagrams_per_s", 1.2, kind="hollow")
+    quiet = [
+        changed(s, value=0.0) if s.engines == 5000 and s.quantity.startswith("memo") else s for s in busy
+    ]
+    results(tmp_path, "x.json", quiet, 0.0)
+    sizes = {s.engines for s in tables.fitted(read_results(tmp_path)) if s.quantity == "control_cpu_share"}
+    assert sizes == set(ENGINES) - {5000}
+
+
+def test_a_wide_range_within_the_sizes_taken_stands_as_it_is() -> None:
+    wide = [changed(s, value=3.0 + s.engines % 3) for s in line("module_refresh_us", 0.0, 3.0, spread=0.9)]
+    wide.append(changed(wide[0], engines=15_000, value=9.0))
+    found = capacity.find(row("refresh_cpu"), Figures(wide))
+    assert not found.beyond and not found.untold
+    sooner = capacity.find(row("refresh_cpu"), Figures([s for s in wide if s.engines < 15_000]))
+    assert sooner.beyond
