Keep what was learnt of engines and classes when the list changes

Noticed: slopes found that one change of the list resets every engine's stretch and every class's recent latency. Lines at fault: brain._listed set refreshed_at to 0 to have all weights made anew, and _refresh took the time since the clock's beginning for passed, so that both faded wholly. With a quarter of the engines draining one after another, or a change each 1.35 s, the module forgot at each which engines are slow and how late classes are. Change: a flag asks for the refresh; time passed is what passed.

--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -234,3 +234,16 @@
     assert before == [(e.width, e.stretch) for e in driver.gateway.engines.values()]
     assert not [a for a in driver.actions if isinstance(a, api.CancelAttempt)]
     assert sends(driver.actions, 200) == [sent]
+
+
+def test_a_change_of_the_list_does_not_forget_how_engines_and_classes_fared() -> None:
+    """It has all weights made anew, which took the time since the module's beginning for passed."""
+    driver = Driver(settings(), engine("a"), engine("b"), engine("c"))
+    driver.ask(1)  # weights are made
+    slow, cls = driver.gateway.engines["a"], driver.gateway.classes["short"]
+    slow.stretch, cls.recent.value, cls.best = 3.0, 2.0, 1.0
+    driver.now += 10_000
+    driver.name_engines(engine("d"), kind=api.ListKind.DELTA)
+    driver.ask(2)
+    assert slow.stretch > 2.9 and cls.recent.value > 1.9
+    assert driver.gateway.engines["d"].weight != 1.0  # all weights are made anew all the same
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -98,6 +98,7 @@
         self.whole = Sent()  # all engines as one
         self.most, self.free = settings.max_open or math.inf, 1.0  # queries open; share of what is kept free
         self.healthy, self.losses = False, Mean()  # some engine is well; share of answers that do not come
+        self.changed = False  # the list, since the last refresh
         self.sums: list[float] | None = None  # running sums of the weights; None: to be made anew
         self.started, self.refreshed_at, self.probed_at, self.probes = now, 0, now, 3.0
         self.stretch, self.mean_load = 1.0, 0.0  # the fleet's usual latency against the best, and load
@@ -260,9 +261,9 @@
     def _refresh(self) -> None:
         """What is kept of the fleet as a whole, and every weight, from time to time."""
         now, ready, passed = self.now, self.ready, self.now - self.refreshed_at
-        if passed < REFRESH_US or not ready:
+        if (passed < REFRESH_US and not self.changed) or not ready:
             return
-        self.refreshed_at = now
+        self.refreshed_at, self.changed = now, False
         for e in ready:  # one that we seldom hear of fares as the others do
             e.stretch += (self.whole.stretch - e.stretch) * min(1.0, passed / STRETCH_FADE_US)
         for cls in self.classes.values():  # a jam must not outlive itself where a class is seldom answered
@@ -641,7 +642,7 @@
         for entry in event.entries:
             self._entry(entry)
         known = [e for e in self.engines.values() if e.state is not api.EngineState.GONE or e.threads]
-        self.engines, self.refreshed_at, self.sums = {e.address: e for e in known}, 0, None
+        self.engines, self.changed, self.sums = {e.address: e for e in known}, True, None
         self.ready = [e for e in known if e.state is api.EngineState.READY]
         # Where gateways keep parts of the engines, ours of each is one among those that keep it.
         parts = [1 / e.holders for e in self.ready if e.holders]
