Test the simulate command and its bounds; play the usual bounds before reports are wanted

Need: a play of 12 gateways with its figures, the bounds that end it with one line, sizes that are refused; and 'bounds' after 'changes' counted the reports that every change asks for, for 10 s, among what was held back.

--- /dev/null
+++ b/tests/test_scale_simulate.py
@@ -0,0 +1,38 @@
+"""The command that plays whole fleets in simulated time: its figures, and that its bounds end it."""
+
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from whintrail.scale.results import load
+from whintrail.scale.simulate import simulate
+
+
+def run(to: Path, *more: str) -> str:
+    given = ["--gateways", "12", "--seeds", "1", "--seconds", "2", "--jobs", "1", "--to", str(to), *more]
+    done = CliRunner().invoke(simulate, given)
+    assert done.exit_code == 0, done.output
+    return done.output
+
+
+def test_a_small_fleet_is_played_and_its_figures_are_kept(tmp_path: Path) -> None:
+    run(tmp_path / "a.json", "--part", "quiet", "--part", "changes")
+    results = load(tmp_path / "a.json")
+    found = {(s.quantity, s.role): s.value for s in results.samples}
+    assert results.note == ""
+    assert all(s.kind == "simulated" and s.gateways == 12 for s in results.samples)
+    assert 200 < found["member_bytes_per_s", "gateway"] < found["member_bytes_per_s", "leader"]
+    assert 0 < found["version_in_force_s", "gateway"] < 1.5
+    assert found["false_removals", "gateway"] == 0
+
+
+def test_a_bound_of_processor_time_or_memory_ends_it_with_one_line(tmp_path: Path) -> None:
+    for name, bound in (("cpu-seconds", "0.001"), ("memory-mb", "1")):
+        output = run(tmp_path / "b.json", f"--{name}", bound)
+        assert f"12 gateways, seed 1, ended early: --{name} {bound} used" in output
+        assert "ended early" in load(tmp_path / "b.json").note
+
+
+def test_sizes_without_anybody_outside_the_council_are_refused() -> None:
+    done = CliRunner().invoke(simulate, ["--gateways", "5"])
+    assert done.exit_code == 2
--- a/whintrail/scale/simulate.py
+++ b/whintrail/scale/simulate.py
@@ -176,8 +176,8 @@
         for name, part in (
             ("start", self.start),
             ("quiet", self.quiet),
+            ("bounds", self.bounds),  # before a change has all report
             ("changes", self.one_after_another),
-            ("bounds", self.bounds),
             ("losses", self.losses),
             ("slots", self.slots),
             ("mean", partial(self.rate, MEAN_CHANGES_PER_S, "0.74/s")),
