--- a/whintrail/scale/real.py
+++ b/whintrail/scale/real.py
@@ -83,8 +83,8 @@
 
     async def applied(self, number: int, event: int, published: float, patience_s: float) -> float | None:
         """Seconds from publishing until a gateway holds an event and has answered an empty query after; None
-        if it doesn't within the patience. It is asked for its counters (SIGUSR1) each 10 ms: it has counted as
-        many events as the number says, since it holds them in order and none that it skips."""
+        if it doesn't within the patience. It is asked for its counters (SIGUSR1) each 10 ms: once it has it,
+        it has counted as many events as the number says."""
         child, client = self.gateways[number], LoadClient(self.ports[number])
         place = child.log.stat().st_size
         try:
