--- a/whintrail/scale/rows.py
+++ b/whintrail/scale/rows.py
@@ -7,7 +7,7 @@
 from whintrail.fleet.state import Propose, Settle
 from whintrail.fleet.wire import Any_, Entry, LeaseAsk, LeaseTell, Report, Told, encode
 from whintrail.interface import LoadReport
-from whintrail.scale.capacity import Estimate, Row, Size, exactly, per_s
+from whintrail.scale.capacity import Estimate, NotMeasured, Row, Size, exactly, per_s
 from whintrail.scale.inputs import value as given
 
 MB = 1 << 20
@@ -55,7 +55,7 @@
 
 
 def _statement(s: Size) -> Estimate:
-    each = s.measured("query_cpu_us", "engines", kind="real")
+    each = s.measured("query_marginal_cpu_us", "engines", kind="real")
     return share(each, STATEMENTS * given("peak_over_mean"))
 
 
@@ -90,9 +90,12 @@
 
 
 def _memo_cpu(s: Size) -> Estimate:
-    heard = s.measured("memo_datagrams_per_s", "engines")
+    """By the sightings: memos of a subset hold several."""
+    datagrams, size = s.measured("memo_datagrams_per_s", "engines"), s.measured("memo_bytes_per_s", "engines")
     each = s.measured("module_memo_us", "engines")
-    return Estimate(*(h * us / 1e6 for h, us in zip(_three(heard), _three(each), strict=True)))
+    head = given("datagram_overhead") + memo.HEAD.size
+    parts = zip(_three(datagrams), _three(size), _three(each), strict=True)
+    return Estimate(*(max(0.0, b - head * d) / memo.ENTRY.size * us / 1e6 for d, b, us in parts))
 
 
 def _three(e: Estimate) -> tuple[float, float, float]:
@@ -117,8 +120,11 @@
 
 def _memo_bytes(s: Size) -> Estimate:
     """Heard, and told to each gateway by itself: where one address stands for all, the first alone."""
-    told = s.measured("memo_sent_datagrams_per_s", "engines")
-    return s.measured("memo_bytes_per_s", "engines") + told * MEMO
+    heard = s.measured("memo_bytes_per_s", "engines")
+    try:
+        return heard + s.measured("memo_sent_bytes_per_s", "engines")
+    except NotMeasured:  # one sighting each, where there is no subset
+        return heard + s.measured("memo_sent_datagrams_per_s", "engines") * MEMO
 
 
 def _member_bytes(s: Size) -> Estimate:
@@ -135,13 +141,19 @@
 
 
 def _memory_sum(s: Size) -> Estimate:
-    return s.measured("module_bytes", "engines") + s.measured("node_bytes", "gateways", role="gateway")
+    both = s.measured("module_bytes", "engines") + s.measured("node_bytes", "gateways", role="gateway")
+    return both + s.measured("part_bytes", "engines") if s.figures.subset else both
 
 
 def _one_after_another(s: Size) -> Estimate:
     return s.measured("version_in_force_s", "gateways", note="one after another") * CHANGES
 
 
+def _hollow_bytes(s: Size) -> Estimate:
+    heard = s.measured("bytes_in_per_s", "gateways", kind="hollow", role="gateway")
+    return heard + s.measured("bytes_out_per_s", "gateways", kind="hollow", role="gateway")
+
+
 # --- The leader.
 
 
@@ -178,6 +190,18 @@
 BRAIN = "whintrail/brain.py:Gateway."
 
 ROWS: tuple[Row, ...] = (
+    Row(
+        "statements",
+        DATA,
+        "statements in, at the peak",
+        "1/s",
+        "neither",
+        lambda s: exactly(STATEMENTS * given("peak_over_mean")),
+        None,
+        "",
+        "whintrail/gateway/sessions.py:Session",
+        f"statements / gateways x peak {given('peak_over_mean'):g}",
+    ),
     Row(
         "choose_cpu",
         DATA,
@@ -200,7 +224,7 @@
         given("data_path_cores") - CPU,
         "a core less control's 1.4%",
         "whintrail/gateway/owner.py:Owner._asked",
-        f"query_cpu_us x {STATEMENTS:,.0f}/s x peak {given('peak_over_mean'):g}",
+        f"query_marginal_cpu_us x {STATEMENTS:,.0f}/s x peak {given('peak_over_mean'):g}",
     ),
     Row(
         "refresh_stand",
@@ -238,6 +262,36 @@
         "whintrail/gateway/bulletin.py:read_listed",
         "list_read_whole_us + gateway_update_whole_us + module_list_whole_us, in one go",
     ),
+    Row(
+        "whole_list_stall",
+        DATA,
+        "a whole list, as an empty query meets it, measured",
+        "ms",
+        "engines",
+        lambda s: s.measured(
+            "loop_stall_ms", "engines", kind="real", note="an empty query's longest answer, whole list"
+        ),
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/gateway/owner.py:Owner._listed",
+        "loop_stall_ms, whole list",
+        total=True,
+    ),
+    Row(
+        "one_entry_stall",
+        DATA,
+        "a list event, as an empty query meets it, measured",
+        "ms",
+        "engines",
+        lambda s: s.measured(
+            "loop_stall_ms", "engines", kind="real", note="an empty query's longest answer, one entry"
+        ),
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/gateway/owner.py:Owner._listed",
+        "loop_stall_ms, one entry",
+        total=True,
+    ),
     Row(
         "clients",
         DATA,
@@ -323,7 +377,7 @@
         CPU,
         CPU_NAME,
         BRAIN + "_told",
-        "memo_datagrams_per_s x module_memo_us",
+        "sightings in memo_bytes_per_s x module_memo_us",
     ),
     Row(
         "member_cpu",
@@ -375,6 +429,32 @@
         "control_cpu_share over engines",
         total=True,
     ),
+    Row(
+        "hollow_cpu_fleet",
+        CONTROL,
+        "the same, over gateways",
+        "share",
+        "gateways",
+        lambda s: s.measured("control_cpu_share", "gateways", kind="hollow", role="gateway"),
+        CPU,
+        CPU_NAME,
+        "whintrail/fleet/node.py:Node",
+        "control_cpu_share over gateways",
+        total=True,
+    ),
+    Row(
+        "hollow_bytes",
+        CONTROL,
+        "datagrams of a hollow gateway, in and out, memos too",
+        "bytes/s",
+        "gateways",
+        _hollow_bytes,
+        BYTES,
+        BYTES_NAME,
+        "whintrail/gateway/peers.py:Peers",
+        "bytes_in_per_s + bytes_out_per_s over gateways",
+        total=True,
+    ),
     Row(
         "memo_datagrams",
         CONTROL,
@@ -397,7 +477,7 @@
         BYTES,
         BYTES_NAME,
         BRAIN + "_probed",
-        f"memo_bytes_per_s + memo_sent_datagrams_per_s x {MEMO:.0f} bytes",
+        "memo_bytes_per_s + memo_sent_bytes_per_s",
     ),
     Row(
         "member_bytes",
@@ -540,7 +620,7 @@
         "a list event held by all, p99",
         "s",
         "gateways",
-        lambda s: s.measured("list_apply_s", "gateways", stat="high"),
+        lambda s: s.measured("list_apply_s", "gateways", kind="hollow", day="changes", stat="high"),
         IN_FORCE,
         "3 s",
         "whintrail/gateway/bulletin.py:Bulletin.take_line",
@@ -576,11 +656,11 @@
         "engines told of by nobody, their key shared",
         "share",
         "engines",
-        lambda s: s.measured("memo_keys_shared", "engines"),
+        lambda s: exactly(1 - (1 - 2.0**-16) ** (s.engines - 1)),
         None,
         "",
         "whintrail/fleet/memo.py:keys_of",
-        "memo_keys_shared",
+        "1 - (1 - 1/65,536)^(engines - 1)",
     ),
     Row(
         "probes",
@@ -606,6 +686,18 @@
         BRAIN + "_cold_room",
         "cold_part",
     ),
+    Row(
+        "engine_statements",
+        ENGINE,
+        "statements, in the mean",
+        "1/s",
+        "neither",
+        lambda s: exactly(given("statements_per_s") / given("engines")),
+        None,
+        "",
+        "",
+        "statements / engines",
+    ),
     Row(
         "engine_links",
         ENGINE,
@@ -642,6 +734,18 @@
         "whintrail/fleet/council.py:Council._beat",
         "5/s in, 5/s out, and one each way an entry",
     ),
+    Row(
+        "council_cpu",
+        MEMBER,
+        "a member of the council, hollow",
+        "share",
+        "gateways",
+        lambda s: s.measured("control_cpu_share", "gateways", kind="hollow", role="control machine"),
+        CORE,
+        CORE_NAME,
+        "whintrail/fleet/council.py:Council",
+        "control_cpu_share of a member of the council",
+    ),
     Row(
         "leader_cpu",
         LEADER,
@@ -679,6 +783,35 @@
         "whintrail/gateway/fleet.py:FleetPart.engines",
         f"leader_engines_us x {given('turns_per_s'):g}/s",
     ),
+    Row(
+        "leader_sum",
+        LEADER,
+        "both of these",
+        "share",
+        "both",
+        lambda s: (
+            s.measured("node_cpu_share", "gateways", role="leader")
+            + share(s.measured("leader_engines_us", "engines", role="leader"), given("turns_per_s"))
+        ),
+        CORE,
+        CORE_NAME,
+        "whintrail/gateway/fleet.py:FleetPart.engines",
+        "its node + all engines gathered",
+        "some lines: engines gathered when a list event comes",
+        True,
+    ),
+    Row(
+        "leader_memory",
+        LEADER,
+        "its node's state",
+        "bytes",
+        "gateways",
+        lambda s: s.measured("node_bytes", "gateways", role="leader"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/fleet/leader.py:Leader",
+        "node_bytes of the leader",
+    ),
     Row(
         "lease_answered",
         LEADER,
@@ -875,3 +1008,45 @@
         f"slot_s x {per_s('restarts_a_day'):.3f}/s",
     ),
 )
+
+# Of a gateway that keeps a subset; without one there is nothing of them.
+SUBSET_ROWS: tuple[Row, ...] = (
+    Row(
+        "part_delta_cpu",
+        CONTROL,
+        "its part kept in step with list events",
+        "share",
+        "engines",
+        lambda s: share(s.measured("part_delta_us", "engines"), CHANGES),
+        CPU,
+        CPU_NAME,
+        "whintrail/subset/part.py:Part.listed",
+        f"part_delta_us x {CHANGES:.2f}/s",
+        total=True,
+    ),
+    Row(
+        "part_start_stand",
+        DATA,
+        "a query that meets its part of a whole list waits",
+        "ms",
+        "engines",
+        lambda s: s.measured("part_start_us", "engines") * 1e-3,
+        SLACK_MS,
+        "the slack of a final answer",
+        "whintrail/subset/part.py:Part.listed",
+        "part_start_us, in one go",
+        total=True,
+    ),
+    Row(
+        "part_memory",
+        CONTROL,
+        "what it knows of engines that it doesn't keep",
+        "bytes",
+        "engines",
+        lambda s: s.measured("part_bytes", "engines"),
+        MEMORY,
+        MEMORY_NAME,
+        "whintrail/subset/part.py:Part",
+        "part_bytes",
+    ),
+)
