--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -33,8 +33,10 @@
 
 
 def read_results(folder: Path) -> dict[str, Results]:
-    """All files of results, by name. Errors: ResultsError."""
-    return {path.name: load(path) for path in sorted(folder.glob("*.json")) if path.name not in OURS}
+    """All files of results, by name, those under before/ too. Errors: ResultsError."""
+    paths = {path.name: path for path in sorted(folder.glob("*.json")) if path.name not in OURS}
+    paths |= {f"before/{path.name}": path for path in sorted(folder.glob("before/*.json"))}
+    return {name: load(path) for name, path in paths.items()}
 
 
 def read_foretold(folder: Path) -> list[Prediction]:
@@ -361,7 +363,7 @@
 
 def _checked(f: Found) -> dict[str, object]:
     verdict = "not measured: " + f.missing if f.value is None else "passed" if f.passed else "holds"
-    if f.value is not None and f.value.wide and not f.passed and f.row.budget is not None:
+    if f.untold and not f.passed and f.value is not None and f.row.budget is not None:
         verdict = "not told" if f.value.high > f.row.budget else "holds"
     value = f.value.value if f.value is not None else None
     shown: dict[str, object] = {
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -1,6 +1,7 @@
 """The tables of docs/CAPACITY.md as text: by name, from samples and predictions alone. Pure."""
 
 import math
+import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from msgspec import Struct
@@ -91,11 +92,12 @@
     used: Sequence[Use],
     figures: Figures,
     reckon: Callable[[Size], Estimate],
+    untold: bool,
 ) -> str:
     """The cell of a value at the size that is coming; where its fits were taken at smaller sizes only, so."""
     if value is None:
         return f"{NOT_MEASURED}: {missing}"
-    if value.wide:
+    if untold:
         there, (gateways, engines) = capacity.at_taken(reckon, used, figures)
         along = {use.grows_with for use in used}
         sizes = [f"{gateways:,.0f} gateways"] * ("gateways" in along)
@@ -127,6 +129,8 @@
         gateways, engines = capacity.on_the_way(_both_share(x))
         return f"{number(gateways)} and {number(engines)}"
 
+    if along == "both" and crossing.size <= 1:
+        return "at any size"
     if crossing.below and crossing.taken is not None:
         return f"below {crossing.taken[0]:,} {along}, the least taken"
     text = size(crossing.size) if crossing.sure else f"unsure: {size(crossing.size)}"
@@ -189,9 +193,9 @@
     body = []
     for f in found:
         row = f.row
-        value = told(f.value, f.missing, row.unit, f.used, figures, row.value)
+        value = told(f.value, f.missing, row.unit, f.used, figures, row.value, f.untold)
         budget = row.budget_name or "none set"
-        used = f"{number(100 * f.share)}%" if f.share is not None and f.value and not f.value.wide else NONE
+        used = f"{number(100 * f.share)}%" if f.share is not None and not f.untold else NONE
         crossing = where(row.along, f.crossing) if row.budget is not None else NONE
         body.append((row.role, row.what, row.formula, value, budget, used, _place(f, places), crossing))
     return table(head, body)
@@ -227,9 +231,9 @@
     body = []
     for r in facts:
         fact = r.fact
-        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value)
+        value = told(r.value, r.missing, fact.unit, r.used, figures, fact.value, r.untold)
         holds = NONE if fact.budget is None or r.value is None else "**no**" if r.passed else "yes"
-        if fact.budget is not None and r.value is not None and r.value.wide:
+        if fact.budget is not None and r.untold:
             holds = "**no**, there already" if r.passed else NOT_TOLD
         body.append((fact.event, fact.what, value, fact.budget_name or NONE, holds))
     return table(head, body)
@@ -343,16 +347,45 @@
         own = row in rows.SUBSET_ROWS
         was = NONE if own or before.value is None else quantity(before.value.value, row.unit)
         cells = [row.key, row.budget_name or NONE, was, NONE if own else where(row.along, before.crossing)]
-        for f in after:
+        for f, figures in zip(after, kept, strict=True):
             cells += [
-                ranged(f.value, row.unit) if f.value else f"{NOT_MEASURED}: {f.missing}",
-                f"{number(100 * f.share)}%" if f.share is not None else NONE,
+                told(f.value, f.missing, row.unit, f.used, figures, row.value, f.untold),
+                f"{number(100 * f.share)}%" if f.share is not None and not f.untold else NONE,
                 where(row.along, f.crossing),
             ]
         body.append(cells)
     return table(head, body) if body else f"{NOT_MEASURED}: no file has samples with a subset."
 
 
+# Of ways to give each gateway a part of the engines, as `whintrail scale ways` says of the largest size.
+WAYS = {
+    "holders_least": "holders of an engine, least",
+    "holders_most": "most",
+    "load_most_aware_sigma_0.5": "most load on one, over the mean",
+    "orphans_block": "engines of nobody, a zone of gateways gone",
+    "churn_engine_goes": "engines begun with, one engine gone",
+    "churn_zone_goes": "a zone of engines gone",
+    "churn_fleet_grows_tenth": "a tenth more gateways",
+    "memo_partners": "gateways to talk to",
+    "memo_bytes_sent_per_s": "bytes/s of memos sent",
+}
+
+
+def ways(samples: Sequence[Sample]) -> str:
+    found = [s for s in samples if s.quantity in WAYS and s.subset and s.note]
+    if not found:
+        return f"{NOT_MEASURED}: holders_least"
+    size = max((s.gateways, s.engines) for s in found)
+    cells = {(s.note, s.quantity): s for s in found if (s.gateways, s.engines) == size}
+    body = []
+    for note in dict.fromkeys(note for note, _ in cells):
+        row = [cells.get((note, name)) for name in WAYS]
+        body.append([note, *(number(s.value) if s is not None else NONE for s in row)])
+    at = f"way; {size[0]:,} gateways, {size[1]:,} engines, {found[0].subset} kept"
+    return table([at, *WAYS.values()], body)
+
+
+COMMAND_PLACE = re.compile(r"(?<=\s)/\S*/")  # of one machine: files' names are enough
 REGIONS = {
     "apart_asked": "changes asked for during the cut",
     "apart_settled": "of these came into force",
@@ -388,14 +421,19 @@
 
 def _both_ways(s: Size) -> float | None:
     heard, sent = _hollow(s, "bytes_in_per_s"), _hollow(s, "bytes_out_per_s")
-    return heard + sent if heard is not None and sent is not None else None
+    return heard + sent if heard is not None and sent is not None and _memos(s) else None
+
+
+def _memos(s: Size) -> float | None:
+    """None where the run had none: large ones leave them out."""
+    return _hollow(s, "memo_datagrams_per_s") or None
 
 
 AGREEMENT: tuple[tuple[str, str, Callable[[Size], float | None], Callable[[Size], Estimate]], ...] = (
     (
         "memos heard; cores played together",
         "datagrams/s",
-        lambda s: _hollow(s, "memo_datagrams_per_s"),
+        _memos,
         lambda s: s.measured("memo_datagrams_per_s", "engines"),
     ),
     (
@@ -447,26 +485,53 @@
     for name, r in results.items():
         load = f"{number(r.machine.load)} on {r.machine.cores} cores"
         body.append(
-            (name, f"`{r.command}`", r.commit, r.taken_at, f"{number(r.took_s)} s", load, str(len(r.samples)))
+            (
+                name,
+                f"`{COMMAND_PLACE.sub('', r.command)}`",
+                r.commit,
+                r.taken_at,
+                f"{number(r.took_s)} s",
+                load,
+                str(len(r.samples)),
+            )
         )
     return table(head, body) if body else "No file yet."
 
 
-FOUND, BEFORE = "found-", "before-"
+FOUND = "found-"
+
+
+def older(name: str) -> bool:
+    """Whether a file is of a program that was mended since: before/NAME.json, or NAME-unmended.json."""
+    return name.startswith("before/") or name.endswith("-unmended.json")
 
 
 def fitted(results: Mapping[str, Results]) -> list[Sample]:
-    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them, and
-    `before-*.json`, which were taken of a program that was mended since."""
-    return [s for name, r in results.items() if not name.startswith((FOUND, BEFORE)) for s in r.samples]
+    """What fits are made of: all but the runs of predictions, `found-*.json`, which stay apart from them; and
+    of files of before a mend only the quantities that no file of today has."""
+    names = [name for name in results if not name.startswith(FOUND)]
+    now = [s for name in names if not older(name) for s in results[name].samples]
+    known = {(s.quantity, s.kind) for s in now}
+    then = [s for name in names if older(name) for s in results[name].samples]
+    return _with_memos(now) + [s for s in then if (s.quantity, s.kind) not in known]
+
+
+def _with_memos(samples: Sequence[Sample]) -> list[Sample]:
+    """Without the sums of hollow gateways in runs that left memos out, as large ones do."""
+    sums = ("control_cpu_share", "bytes_in_per_s", "bytes_out_per_s")
+    hollow = [s for s in samples if s.kind == "hollow" and s.role == "gateway"]
+    none = [s for s in hollow if s.quantity == "memo_datagrams_per_s" and not s.value]
+    quiet = {(s.gateways, s.engines, s.subset) for s in none}
+    left = {id(s) for s in hollow if s.quantity in sums and (s.gateways, s.engines, s.subset) in quiet}
+    return [s for s in samples if id(s) not in left]
 
 
 MENDED = 1.5  # times less, at the greatest size that both have, is worth a line
 
 
 def mendings(results: Mapping[str, Results], uses: Iterable[Use]) -> str:
-    """Quantities of which `before-*.json` has others than the files of today."""
-    then = Figures([s for name, r in results.items() if name.startswith(BEFORE) for s in r.samples])
+    """Quantities that files of before a mend have otherwise than the files of today."""
+    then = Figures([s for name, r in results.items() if older(name) for s in r.samples])
     now, body = Figures(fitted(results)), list[list[str]]()
     for use in uses:
         try:
@@ -474,7 +539,7 @@
         except capacity.NotMeasured:
             continue
         common = [size for size in old.sizes if size in new.sizes]
-        if not common or old.at(common[-1])[0] < MENDED * new.at(common[-1])[0]:
+        if not common or not old.at(common[-1])[0] > MENDED * new.at(common[-1])[0] > 0:
             continue
         size = f"{common[-1]:,} {use.grows_with}"
         was, now_is = (quantity(fit.at(common[-1])[0], fit.unit) for fit in (old, new))
@@ -521,9 +586,10 @@
         "ranking": lambda: ranking(found),
         "mends": lambda: mended(found),
         "subset": lambda: subsets(samples),
+        "ways": lambda: ways(samples),
         "mendings": lambda: mendings(results, uses),
         "agreement": lambda: agreement(samples, figures),
-        "simulation": lambda: simulation(samples),
+        "simulation": lambda: simulation([s for r in results.values() for s in r.samples]),
         "foretold": lambda: foretold(predictions, list(results.values())),
         "files": lambda: files(results),
     }
