--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -14,7 +14,7 @@
 from whintrail.cli.output import emit, format_option
 from whintrail.scale import capacity, rates, rows, tables
 from whintrail.scale.capacity import Figures, Found, Use
-from whintrail.scale.fitting import Fit, FitError, Grows, fit, selected
+from whintrail.scale.fitting import Fit, Grows, selected
 from whintrail.scale.results import Results, ResultsError, Sample, load, save, this_commit, this_machine
 from whintrail.scale.tables import Foretold, Prediction
 
@@ -143,7 +143,7 @@
 
 
 def foretell(samples: Sequence[Sample], like: Sample, over: Grows, now: float) -> Prediction:
-    """The figure at a size that no file has yet; `like` names it. Errors: FitError, ValueError."""
+    """The figure at a size that no file has yet; `like` names it. Errors: ValueError."""
     known = [
         s
         for s in samples
@@ -152,9 +152,11 @@
     x = getattr(like, over)
     if any(s.quantity == like.quantity and getattr(s, over) == x for s in known):
         raise ValueError(f"{like.quantity} at {x} {over} was measured already")
-    found = fit(
-        known, like.quantity, over, kind=like.kind, role=like.role, subset=like.subset, note=like.note
-    )
+    use = Use(like.quantity, over, like.kind, like.role, like.note)
+    try:
+        found = Figures(known, subset=like.subset).fit(use)
+    except capacity.NotMeasured as error:
+        raise ValueError(f"{like.quantity}: no two sizes to foretell it from") from error
     value, low, high = found.at(x)
     return Prediction(
         quantity=like.quantity,
@@ -325,7 +327,7 @@
         for name in quantities:
             like = msgspec.convert({"quantity": name, **blank, **given}, Sample)
             made.append(foretell(samples, like, grows_with(name, samples), now))
-    except (FitError, ValueError) as error:
+    except ValueError as error:
         raise click.ClickException(str(error)) from error
     _write(folder / FORETOLD, Foretold(predictions=[*read_foretold(folder), *made]))
     for p in made:
