--- a/whintrail/scale/slopes_fleet.py
+++ b/whintrail/scale/slopes_fleet.py
@@ -54,7 +54,6 @@
     for number in range(count - 1):
         members.heard(BEGAN, number, birth_of(number), INCARNATION, Ack(0, NOTHING, ()))
     members.news = News()
-    members.changes.clear()
     return members
 
 
