--- a/whintrail/scale/hollow.py
+++ b/whintrail/scale/hollow.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import importlib
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -30,7 +29,9 @@
 from whintrail.gateway.peers import Peers
 from whintrail.gateway.postgres import Rows
 from whintrail.gateway.statement import Statement
+from whintrail.gateway.subset import SubsetSide
 from whintrail.settings import read_settings
+from whintrail.subset.plan import SubsetPlan
 
 HEADERS = 28  # bytes of IPv4 and UDP ahead of each datagram
 ANSWER_S, PROBE_S = 0.02, 0.001  # the model of an engine: means of an answer and a probe
@@ -260,9 +261,8 @@
 
     def _keep_part(self, settings: api.Settings) -> None:
         """As the program does where its operator's file has a `subset` part."""
-        side = importlib.import_module("whintrail.gateway.subset")
-        plan, owner = side.SubsetPlan(self.common.subset), self.owner
-        subset = side.SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
+        plan, owner = SubsetPlan(self.common.subset), self.owner
+        subset = SubsetSide(plan, settings, self.peers, lambda engine: not owner.held_by(engine))
         for name in ("listed", "turn", "tell"):
             setattr(subset, name, self.meter.timed("subset", getattr(subset, name)))
         owner.keep_part(subset, subset.turn_us)
