--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -334,8 +334,10 @@
 
 
 def subsets(samples: Sequence[Sample]) -> str:
-    """Rows that were measured with a subset on, beside the way of before."""
-    sizes = sorted({s.subset for s in samples if s.subset})
+    """Rows that were measured with a subset on, beside the way of before. Only parts whose slopes were taken:
+    runs of one size with others say nothing of the size that is coming."""
+    cores = {s.subset for s in samples if s.subset and s.kind == "core"}
+    sizes = sorted(cores or {s.subset for s in samples if s.subset})
     kept = [Figures(samples, subset=k) for k in sizes]
     head = ["row", "budget", "all engines", "passed at"]
     head += [cell for k in sizes for cell in (f"{k} kept", "used", "passed at")]
