Keep to the guess for queries that came before anything was known of their class

Looked into: no estimates, nothing known yet, so a span of a quarter of the aim (250 ms) is a guess; the first answer tells 12.5 ms after 100 ms. Judged by that it counts eight times its work, and eight times the 250 ms was expected of the others: later than their aim. Excluded: load (fails alone as well), links. Lines at fault: brain._judge took told work for queries whose span was a guess, so that Class.recent and the spans that it is multiplied with stood on two scales. Change: Query.guessed; such are judged as before the told work. The test of runaways sets the engines' stretch to the fleet's first: its equality rested on the first answer's ratio being 1. Measured: the forced test fails without the change; the gateway's test passes 3 of 3 times.

--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -225,6 +225,8 @@
 def test_without_estimates_long_work_is_no_runaway() -> None:
     """Each of its notes narrowed the bounds, and where cancels are allowed it began anew elsewhere."""
     driver = unestimated()
+    for e in driver.gateway.engines.values():
+        e.stretch = driver.gateway.whole.stretch  # so that time alone, too, moves none of them
     before = [(e.width, e.stretch) for e in driver.gateway.engines.values()]
     driver.ask(200, cost_us=None, memory_mb=None, give_up_us=driver.now + 60 * SECOND)
     (sent,) = sends(driver.actions, 200)
@@ -247,3 +249,16 @@
     driver.ask(2)
     assert slow.stretch > 2.9 and cls.recent.value > 1.9
     assert driver.gateway.engines["d"].weight != 1.0  # all weights are made anew all the same
+
+
+def test_first_queries_without_estimates_are_not_refused_by_work_that_answers_tell_otherwise() -> None:
+    """Forty at once, of a class of which nothing is known: first answers tell far less work than the guess
+    that stood for it, and as many times more was then expected of those that waited."""
+    driver = Driver(settings(tells_cost=True), engine("a"))
+    for number in range(40):
+        driver.ask(number, cost_us=None, memory_mb=None)
+    driver.now += 100_000
+    for number in range(40):
+        if sends(driver.actions, number):
+            driver.end(number, Out.OK, work_ms=12.5)
+    assert not [a for a in driver.actions if isinstance(a, api.Refuse)]
--- a/whintrail/brain.py
+++ b/whintrail/brain.py
@@ -130,6 +130,7 @@
         aim = self.now + cls.settings.aim_us + cls.settings.aim_stretch * span
         known = (event.cost_us, event.memory_mb, event.give_up_us)
         query = Query(event.query, cls, *known, threads, span, aim, min(aim, event.give_up_us))
+        query.guessed = event.cost_us is None and not cls.cost.value
         query.heavy, query.group = self._label(query), event.tables if cls.settings.is_load else None
         self.queries[query.id] = query
         self.taken.append(self.now)
@@ -505,8 +506,10 @@
         took = event.elapsed_us
         if query.group is not None:  # what it stood behind ours tells nothing of the engine
             took, engine.freed[query.group] = min(took, self.now - engine.freed.get(query.group, 0)), self.now
-        # Without an estimate the class's mean stands in: a long query would look like a slow engine.
-        told = event.work_ms * 1000 / query.threads if event.work_ms and query.cost_us is None else None
+        # Without an estimate the class's mean stands in: a long query would look like a slow engine. Where
+        # even the mean was a guess it is kept to, lest what is expected of others be many times too long.
+        unsaid = event.work_ms and query.cost_us is None and not query.guessed
+        told = event.work_ms * 1000 / query.threads if event.work_ms and unsaid else None
         self._stretch(query, engine, took, took, told)
         if not attempt.share:
             self._heads(query, took)
--- a/whintrail/state.py
+++ b/whintrail/state.py
@@ -140,6 +140,7 @@
     line: "Line | None" = None  # of its key, where its class keeps an order
     group: int | None = None  # of tables, where it holds them while it runs
     terms: tuple[float, int] = (0, 1)  # the engine's choice of memory, the usual priority
+    guessed: bool = False  # its span: nothing is known of such work yet
 
     @property
     def gated(self) -> bool:
