--- a/review/common.py
+++ b/review/common.py
@@ -82,6 +82,28 @@
     }
 
 
+def hobart_settings() -> dict[str, Any]:
+    """The same with the classes and rules of the Hobart brief: all may be repeated, but never two at once."""
+    base = settings()
+    lookup, report = base["Classes"][:2]
+    base["Classes"] = [
+        {**lookup, "AimUs": 600_000, "DeadlineUs": 3_000_000},
+        {**report, "DeadlineUs": 25_000_000, "Worth": 12.0},
+    ]
+    base["FamilyInfo"].update(
+        ClassLoad=[False, False],
+        CpuOfKind=[12],
+        Dop=[1, 3],
+        OutOfMemory="wait",
+        Priorities=False,
+        ProgressPaceUs=0,
+    )
+    base["Limits"].update(KeepaliveUs=15_000_000, MaxStreams=32, RetryAfter=False, SecondCopies=False)
+    base["Rules"].update(ColdUs=14_000_000, DrainGraceUs=2_000_000, StartCapacity=0.3)
+    base["Reporting"] = {"Fields": ["cpu_share", "pending", "x1", "x0"], "How": "probe"}
+    return base
+
+
 class Record:
     """What was sent, answered and run, in the order of the events; written when the case ends."""
 
@@ -108,6 +130,7 @@
     def __init__(self, name: str, record: Record, run_s: float) -> None:
         self.name, self.record, self.run_s = name, record, run_s
         self.received: list[tuple[float, str]] = []  # when a request had come whole, and its id
+        self.report_fields: list[str] = []  # named in the settings
         super().__init__()
 
     def entry(self, state: str = "active") -> dict[str, Any]:
@@ -152,7 +175,9 @@
                     self.record.add(f"{self.name}: undo {id}")
                     open_ids.discard(id)
                 case ["top", tag]:
-                    answer(f"{tag} green stats=busy_reqs:{len(open_ids)};pending:0;x0:0.1")
+                    values = {"busy_reqs": len(open_ids), "cpu_share": min(1.0, len(open_ids) / 12)}
+                    stats = ";".join(f"{name}:{values.get(name, 0):g}" for name in self.report_fields)
+                    answer(f"{tag} green stats={stats}")
                 case ["ping", tag]:
                     answer(f"{tag} green -")
 
@@ -198,6 +223,7 @@
         self.list_service = ListService(record)
         self.list_service.publish(*(engine.entry() for engine in self.engines), reset=True)
         self.folder, self.sockets = folder, sockets
+        self.settings = settings()
         self.port = 0
         self.gateway: scripted.Gateway | None = None
 
@@ -208,7 +234,9 @@
         address = list_address or self.list_service.address
         config = scripted.configuration("n0", self.port, address, self.list_service.events, self.sockets)
         config["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}
-        config["settings"] = settings()
+        config["settings"] = self.settings
+        for engine in self.engines:
+            engine.report_fields = self.settings["Reporting"]["Fields"]
         self.gateway = scripted.Gateway(config, self.folder)
         scripted.wait_for(self._is_ready)
         self.record.add("gateway: ready")
