Review: end a watch of the stand-in list service that closes before it asks

Cause: the stand-in's thread raised on an empty line when the gateway ended at once after its connect; noise only.

--- a/review/common.py
+++ b/review/common.py
@@ -201,7 +201,10 @@
         return at
 
     def serve(self, sock: socket.socket) -> None:
-        last = int(sock.makefile("rb").readline().split()[1])
+        line = sock.makefile("rb").readline()
+        if not line:
+            return
+        last = int(line.split()[1])
         self.record.add(f"list service: asked for what came after {last}")
         next_beat = 0.0
         while True:
