Bound what all clients together cost in a turn of the event loop

The watch of the list was given up as silent.

Cause: limits stood for what one connection does in a turn of the event loop, none for all together, so 400 whole messages made one turn of seconds (sessions.py, _process_messages). Each cost up to 20 ms, as the table group was searched for in every statement, before its class was looked at (statement.py, read_statement).

Change: TurnScheduler processes the input of all clients in bounded steps, 2 ms a turn, in the order of fair queueing by measured time; engines' input has a scheduler of its own, and the dispatcher pauses after 5 ms. A connection is not read while its input waits. Only loads are searched for a table group, in parts, for 0.3 s at most, and only if their text can name one. Start-ups are decoded in one go. The hostile statements of test_codecs now also ask for the group, which is no longer searched for on reading.

Why it works: the length of a turn no longer depends on how many clients have sent something, nor on what it costs, and who has cost little goes before those that have cost much.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -277,10 +277,11 @@
     assert table_group(sql.encode()) == group
 
 
-@pytest.mark.parametrize("start", ["", "/*", "'", '"', "FROM a."])
+@pytest.mark.parametrize("start", ["", "/*", "'", '"', "FROM a.", "a_1 ", "a_1 /*", "a_1 '", "a_1 FROM a."])
 @pytest.mark.parametrize("unit", ["-", "'", '"', "/*", "$a", "a ", "(", "e'\\", "\"'"])
 def test_hostile_statements_are_parsed_in_bounded_time(start: str, unit: str) -> None:
     fields = b"/* op=lookup,call=9b1f03aa5c7e2d41,ttl=5000 */ "
     started = time.process_time()
-    read_statement(fields + start.encode() + unit.encode() * (64_000 // len(unit)))
+    statement = read_statement(fields + start.encode() + unit.encode() * (64_000 // len(unit)))
+    assert statement.table_group is None
     assert time.process_time() - started < 0.5
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -179,7 +179,7 @@
         session.connection.buffer.receive_space()[: len(ahead)] = ahead  # the next query has already arrived
         session.connection.buffer.commit(len(ahead))
         session._detach_client()
-        session._continue_processing()  # a deferred call
+        session.process_next()  # a deferred call
         session._on_all_sent()
         assert len(harness.received(QueryReceived)) == 1 and len(harness.received(ClientDeparted)) == 1
 
--- a/whintrail/gateway/dispatcher.py
+++ b/whintrail/gateway/dispatcher.py
@@ -344,6 +344,7 @@
         queue, timers = self.inbox.queue, self.timers
         while True:
             await self.inbox.wait()
+            turn_end_us = self.clock.now_us() + self.limits.dispatcher_turn_us
             while queue:
                 at_us, item = queue.popleft()
                 if self.current_rules is not None:
@@ -356,6 +357,9 @@
                     self._process(item)
                 except Exception as error:
                     self._report_fault(error, item)
+                if queue and self.clock.now_us() >= turn_end_us:  # other tasks get their turn
+                    await asyncio.sleep(0)
+                    turn_end_us = self.clock.now_us() + self.limits.dispatcher_turn_us
             self._run_due_timers(self.clock.now_us())
             self._schedule_wakeup()
 
@@ -615,7 +619,7 @@
                 deadline_at_us=query.deadline_us,
                 cost_us=None if statement.work_ms is None else statement.work_ms * 1000,
                 memory_mb=statement.memory_mb,
-                table_group=statement.table_group,
+                table_group=(statement.table_group if statement.class_name in self.load_classes else None),
                 ordering_key=None,
                 tenant=None,
                 is_repeat=False,
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -39,9 +39,12 @@
     attempts_per_link: int
     receives_per_turn: int  # of one connection, before others have a turn of the loop
     accepts_per_turn: int
-    messages_per_turn: int
     datagrams_per_turn: int  # from other gateways
-    # Times, each with its unit.
+    # Times, each with its unit. The first three are spent in one turn of the event loop on the input of all
+    # clients, of all engines, and of the dispatcher.
+    client_turn_us: int
+    engine_turn_us: int
+    dispatcher_turn_us: int
     connect_timeout_s: float
     link_idle_timeout_s: float
     link_silence_timeout_us: int  # without a received byte while requests are open
@@ -63,6 +66,7 @@
     # Allocations between two runs of the garbage collector, by generation.
     gc_thresholds: tuple[int, int, int]
     answer_slack_us: int  # past its deadline, before the dispatcher itself fails a query
+    group_search_timeout_us: int  # from a load's last byte; then its table group stays unknown
     new_query_grace_us: int  # a client is not checked for a disconnect this soon after its query
     timeline_interval_us: int
     call_id_retention_us: int  # minimum time for which the id of a finished query is remembered
@@ -102,8 +106,10 @@
             attempts_per_link=max(1, int(get_or_default(engine_limits, "MaxStreams", 32))),
             receives_per_turn=4,
             accepts_per_turn=32,
-            messages_per_turn=32,
             datagrams_per_turn=32,
+            client_turn_us=2000,
+            engine_turn_us=5000,
+            dispatcher_turn_us=5000,
             connect_timeout_s=get_or_default(engine_limits, "ConnectTimeoutUs", 250_000) / 1e6,
             link_silence_timeout_us=int(
                 1.5 * get_or_default(get_or_default(settings, "FamilyInfo", {}), "ProgressPaceUs", 0)
@@ -127,6 +133,7 @@
             gc_thresholds=(20_000, 20, 50),
             # An engine may work on a query until its deadline, so its id must not be reused before.
             call_id_retention_us=max(4_000_000, int(longest_deadline_s * 1e6)),
+            group_search_timeout_us=300_000,
             new_query_grace_us=20_000,
             timeline_interval_us=250_000,
             answer_slack_us=int(get_or_default(rules, "AnswerSlackUs", 20_000)),
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -26,6 +26,7 @@
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
 from whintrail.gateway.postgres import Rows, encode_data_rows
+from whintrail.gateway.turns import Share, TurnScheduler
 
 UPDATE_TOPICS = {
     "done": api.StatusTopic.PROGRESS,
@@ -74,6 +75,9 @@
         self.last_received_us = pool.inbox.clock.now_us()
         self.partial_since_us: int | None = None  # first byte of an incomplete answer
         self.closing = False
+        self.share = Share()  # of the turns of the event loop
+        self.input_processed = asyncio.Event()
+        self.input_error: Exception | None = None  # what the engine sent can't be used
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     @property
@@ -261,7 +265,8 @@
                 self._write(engine_protocol.encode_probe(tag, self.pool.with_report))
             receive_count = 0
             while await self.connection.receive():
-                self._read_answers(self.connection.buffer)
+                self.last_received_us = self.pool.inbox.clock.now_us()
+                await self._process_input()
                 receive_count += 1
                 # Let other tasks run, even if the engine never stops sending.
                 if receive_count % self.limits.receives_per_turn == 0:
@@ -290,17 +295,41 @@
 
     # --- Answers.
 
-    def _read_answers(self, buffer: Buffer) -> None:
-        self.last_received_us, has_answer = self.pool.inbox.clock.now_us(), False
-        while answer := engine_protocol.read_answer(
-            buffer, self.limits.engine_line_bytes, self.limits.page_bytes
-        ):
+    async def _process_input(self) -> None:
+        """Process the whole answers in the buffer, in this link's share of turns. Errors: FramingError."""
+        self.pool.turns.submit(self)
+        if self.share.queued:
+            self.input_processed.clear()
+            await self.input_processed.wait()
+        if self.input_error is not None:
+            raise self.input_error
+
+    def next_input_bytes(self) -> int:
+        """The size of the next message, as far as it is known."""
+        return 0 if self.connection is None else len(self.connection.buffer)
+
+    def process_next(self) -> bool:
+        """Process the next answer; returns whether there was one."""
+        assert self.connection is not None
+        buffer = self.connection.buffer
+        answer = engine_protocol.read_answer(buffer, self.limits.engine_line_bytes, self.limits.page_bytes)
+        if answer is not None:
+            self.partial_since_us = None
             self._on_answer(answer)
-            has_answer = True
+            return len(buffer) > 0
         if not len(buffer):
             self.partial_since_us = None
-        elif has_answer or self.partial_since_us is None:
+        elif self.partial_since_us is None:
             self.partial_since_us = self.last_received_us
+        return False
+
+    def on_input_failed(self, error: Exception) -> None:
+        """Take no new attempt; the reader task closes the link."""
+        self.input_error, self.closing = error, True
+
+    def on_input_processed(self) -> None:
+        """Let the reader task go on."""
+        self.input_processed.set()
 
     def _on_answer(self, answer: engine_protocol.Answer) -> None:
         if answer.word in ("green", "red"):
@@ -429,6 +458,7 @@
         self.links: dict[str, list[Link]] = {}
         self.last_probe_number = 0
         self.loop = asyncio.get_running_loop()
+        self.turns = TurnScheduler(limits.engine_turn_us)
         self.sweep_task = self.loop.create_task(self._sweep_links())
 
     def now_s(self) -> float:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -1,7 +1,7 @@
 """Codec of the PostgreSQL wire protocol 3.0 for a server; it does no I/O."""
 
 import struct
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from whintrail.gateway.buffer import Buffer
@@ -11,6 +11,7 @@
 GSS_REQUEST = 80877104
 CANCEL_REQUEST = 80877102
 TEXT_OID = 25
+PROTOCOL_OPTION_PREFIX = "_pq_."
 ENCRYPTION_DECLINED = b"N"  # answer to a request for encryption
 
 # SQLSTATE codes. Class 53 and 57P03 promise that a retry is safe; they are used for nothing else.
@@ -83,15 +84,28 @@
         return CancelRequest(*_startup_header.unpack(body))
     if code >> 16 != PROTOCOL_MAJOR:
         raise ProtocolError(UNSUPPORTED, f"unsupported frontend protocol {code >> 16}.{code & 0xFFFF}")
-    items = body.split(b"\0")
-    if items[-1:] != [b""] or len(items) < 2 or items[-2] != b"":
+    # The last parameter's zero byte, or nothing at all, precedes the terminator.
+    if body[-1:] != b"\0" or body[-2:-1] not in (b"", b"\0"):
         raise ProtocolError(
             PROTOCOL_VIOLATION, "invalid startup packet layout: expected terminator as last byte"
         )
-    texts = [item.decode("utf-8", "replace") for item in items[:-2]]
+    texts = body[:-2].decode("utf-8", "replace").split("\0") if len(body) > 2 else []
     return Startup(code & 0xFFFF, dict(zip(texts[::2], texts[1::2], strict=False)))
 
 
+def protocol_options(parameters: Mapping[str, str]) -> list[str]:
+    """The names of a start-up's parameters that ask for protocol extensions."""
+    return [name for name in parameters if name.startswith(PROTOCOL_OPTION_PREFIX)]
+
+
+def next_message_bytes(buffer: Buffer) -> int:
+    """The size of the next message, or of the buffered part of it."""
+    if len(buffer) < _message_header.size:
+        return len(buffer)
+    _, length = _message_header.unpack(buffer.peek(_message_header.size))
+    return min(1 + int(length), len(buffer))
+
+
 def read_message(buffer: Buffer, max_bytes: int) -> tuple[bytes, bytes] | None:
     """Take the type and body of the next message; None while it is incomplete."""
     if len(buffer) < _message_header.size:
--- a/whintrail/gateway/service.py
+++ b/whintrail/gateway/service.py
@@ -96,7 +96,8 @@
             reader = read_report if settings.report_source is not ReportSource.NONE else None
             common = self.limits, self.inbox, self.counters, self.log
             self.links = LinkPool(*common, reader, settings.reports_cost)
-            self.sessions = SessionServer(*common)
+            load_classes = frozenset(cls.name for cls in settings.classes if cls.is_load)
+            self.sessions = SessionServer(*common, load_classes)
             self.bulletin = BulletinClient(config, *common)
             self.peers = (
                 PeerTransport(config, *common)
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -4,6 +4,7 @@
 import secrets
 import socket
 from contextlib import suppress
+from dataclasses import dataclass
 
 from whintrail.gateway import postgres as pg
 from whintrail.gateway.buffer import Buffer
@@ -12,7 +13,8 @@
 from whintrail.gateway.dispatcher import ClientDeparted, Inbox, Query, QueryReceived
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
-from whintrail.gateway.statement import StatementError, read_statement
+from whintrail.gateway.statement import Statement, StatementError, read_statement
+from whintrail.gateway.turns import Share, TurnScheduler
 
 SERVER_PARAMETERS = {
     "server_version": "15.0 (whintrail)",
@@ -31,6 +33,14 @@
 CANCELED_TEXT = "canceling statement due to user request"
 
 
+@dataclass(slots=True)
+class StatementInParsing:
+    """A load whose statement is searched for its table group, a part at a time."""
+
+    statement: Statement
+    received_us: int
+
+
 class Session:
     """One client's connection."""
 
@@ -52,7 +62,9 @@
         )
         self.skipping_to_sync = False  # skip messages until Sync, after an error in the extended protocol
         self.ended_at: float | None = None  # from then on input is discarded and no answer is sent
-        self.processing_scheduled = False  # further messages are processed in a later turn of the loop
+        self.share = Share()  # of the turns of the event loop
+        self.input_error: Exception | None = None  # a fault, which ends the session
+        self.statement_in_parsing: StatementInParsing | None = None
         self.cancel_next_query = False  # a cancel request arrived before its query was read
         self.resume_reading = asyncio.Event()
 
@@ -68,9 +80,9 @@
     @property
     def idle(self) -> bool:
         """Whether no query is open, no answer is being written and no input is buffered."""
-        return (
-            self.open_query is None and not self.answering and (self.ended or not len(self.connection.buffer))
-        )
+        if self.open_query is not None or self.answering:
+            return False
+        return self.ended or not (len(self.connection.buffer) or self.statement_in_parsing)
 
     async def run(self) -> None:
         """Read from the client until its connection ends."""
@@ -78,6 +90,12 @@
         receive_count = 0
         try:
             while True:
+                if self.share.queued:  # one connection's input is not read faster than it is processed
+                    self.resume_reading.clear()
+                    await self.resume_reading.wait()
+                    continue
+                if self.input_error is not None:
+                    raise self.input_error
                 if self.ended:
                     if not await connection.discard(self.server.discard_buffer):
                         break
@@ -87,8 +105,7 @@
                     continue
                 elif not await connection.receive():
                     break
-                else:
-                    self._process_messages()
+                self.server.turns.submit(self)
                 receive_count += 1
                 # Let other tasks run, even if the client never stops sending.
                 if receive_count % receives_per_turn == 0:
@@ -101,7 +118,7 @@
     def _detach_client(self) -> None:
         """Mark the session ended and its query as left by the client.
 
-        Scheduled callbacks (`_continue_processing`, `_on_all_sent`) see that the session has ended. The
+        Later steps (`process_next`, `_on_all_sent`) see that the session has ended. The
         dispatcher sees `client_left` even before it processes `ClientDeparted`.
         """
         if self.ended_at is None:
@@ -137,6 +154,8 @@
             return "stalled" if now - self.answer_started_at > self.limits.client_write_timeout_s else None
         if self.open_query is not None or self.receive_deadline is None or now <= self.receive_deadline:
             return None
+        if self.share.queued:  # what it has sent may be whole, and waits for its turn
+            return None
         # Bytes that have just arrived may complete the query: within the grace period they are read first.
         in_grace_period = now - self.receive_deadline <= self.limits.close_grace_s
         return (
@@ -156,7 +175,7 @@
     def admit(self) -> None:
         """Admit a waiting session, and process what it has sent so far."""
         self.admitted, self.receive_deadline = True, self.now() + self.limits.query_receive_timeout_s
-        self._process_messages()
+        self.server.turns.submit(self)
 
     def close_if_idle(self) -> bool:
         """End the session if it is idle; returns whether it was.
@@ -178,36 +197,45 @@
 
     # --- Input.
 
-    def _process_messages(self) -> None:
-        """Process complete messages, one query at a time.
+    def next_input_bytes(self) -> int:
+        """The size of the next message, as far as it is known."""
+        return pg.next_message_bytes(self.connection.buffer) if self.startup_done else 0
+
+    def process_next(self) -> bool:
+        """Process one message, or a part of a long one; returns whether there is more to process.
 
-        After `messages_per_turn` messages the rest is left for a later turn of the loop.
+        One query is processed at a time: what follows it waits in the buffer until it is answered.
         """
+        if self._must_wait:
+            return False
         try:
-            for _ in range(self.limits.messages_per_turn):
-                if self.ended or self.open_query is not None or self.answering:
-                    break
-                # The client sends without reading.
-                if self.connection.unsent_bytes > self.limits.client_unsent_bytes:
-                    break
-                if not (self._read_message() if self.startup_done else self._read_startup()):
-                    break
-            else:
-                if not self.processing_scheduled:
-                    self.processing_scheduled = True
-                    self.server.loop.call_soon(self._continue_processing)
+            if self.statement_in_parsing is not None:
+                self._continue_parsing(self.statement_in_parsing)
+            elif not (self._read_message() if self.startup_done else self._read_startup()):
+                return False
         except pg.ProtocolError as error:
             self.counters.add("sessions", "broken")
             self._half_close(pg.error(error.sqlstate, str(error), fatal=True))
+        return not self._must_wait and bool(len(self.connection.buffer) or self.statement_in_parsing)
+
+    @property
+    def _must_wait(self) -> bool:
+        """Whether the next message has to wait, because of an answer or because the client does not read."""
+        if self.ended or self.open_query is not None or self.answering:
+            return True
+        return self.connection.unsent_bytes > self.limits.client_unsent_bytes
+
+    def on_input_failed(self, error: Exception) -> None:
+        """Let the reader task end the session with the error."""
+        self.input_error = error
+
+    def on_input_processed(self) -> None:
+        """Receive again, and expect the rest of a message that has begun."""
         waits_for_query = self.open_query is None and not self.answering and self.admitted
         if self.receive_deadline is None and waits_for_query and len(self.connection.buffer):
             self.receive_deadline = self.now() + self.limits.query_receive_timeout_s
         self.resume_reading.set()
 
-    def _continue_processing(self) -> None:
-        self.processing_scheduled = False
-        self._process_messages()
-
     def _read_startup(self) -> bool:
         if not self.admitted and not pg.is_cancel_request(self.connection.buffer.peek(CANCEL_REQUEST_BYTES)):
             return False
@@ -222,7 +250,7 @@
                 self.server.cancel_query(process_id, secret)
                 self._half_close()
             case pg.Startup(minor, parameters):
-                options = [name for name in parameters if name.startswith("_pq_.")]
+                options = pg.protocol_options(parameters)
                 if minor or options:
                     self.connection.write(pg.negotiate_protocol_version(options))
                 self.startup_done = True
@@ -263,11 +291,35 @@
             self.counters.add("queries", "unreadable")
             self.connection.write(pg.error(pg.BAD_VALUE, str(error)) + pg.READY_FOR_QUERY)
             return
+        received_us = self.inbox.clock.now_us() - self.connection.since_last_data_us()
+        if statement.class_name in self.server.load_classes:
+            self._continue_parsing(StatementInParsing(statement, received_us))
+        else:
+            self._take_query(statement, received_us)
+
+    def _continue_parsing(self, parsing: "StatementInParsing") -> None:
+        """Search a bounded part of a load's statement for its table group; take the query at the end.
+
+        If other clients leave too little time for the search, the query goes on without a group.
+        """
+        is_complete = parsing.statement.search_table_group()
+        if not is_complete and self._is_search_overdue(parsing):
+            self.counters.add("queries", "group_unknown")
+            parsing.statement.stop_search()
+            is_complete = True
+        self.statement_in_parsing = None if is_complete else parsing
+        if is_complete:
+            self._take_query(parsing.statement, parsing.received_us)
+
+    def _is_search_overdue(self, parsing: "StatementInParsing") -> bool:
+        waited_us = self.inbox.clock.now_us() - parsing.received_us
+        return waited_us > self.limits.group_search_timeout_us
+
+    def _take_query(self, statement: Statement, received_us: int) -> None:
         if self.cancel_next_query:
             self.cancel_next_query = False
             self.connection.write(pg.error(pg.CANCELED, CANCELED_TEXT) + pg.READY_FOR_QUERY)
             return
-        received_us = self.inbox.clock.now_us() - self.connection.since_last_data_us()
         self.open_query = Query(self, statement, received_us)
         self.server.idle_since.pop(self, None)
         self.inbox.put(QueryReceived(self.open_query))
@@ -290,7 +342,8 @@
         if self.answering:
             self.answering = False
             self.server.idle_since[self] = self.now()
-        self._process_messages()
+        if len(self.connection.buffer):
+            self.server.turns.submit(self)
 
     def _half_close(self, last_bytes: bytes = b"") -> None:
         """Write the last bytes, shut down the write side and wait for the client to close.
@@ -346,6 +399,7 @@
             connection = self.connection
             self.cancel_next_query = (
                 bool(len(connection.buffer))
+                or self.statement_in_parsing is not None
                 or connection.has_unprocessed_receive()
                 or connection.has_unread_bytes()
             )
@@ -354,8 +408,17 @@
 class SessionServer:
     """Accepts client connections and manages their sessions."""
 
-    def __init__(self, limits: Limits, inbox: Inbox, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        inbox: Inbox,
+        counters: Counters,
+        log: Log,
+        load_classes: frozenset[str] = frozenset(),
+    ) -> None:
         self.limits, self.inbox, self.counters, self.log = limits, inbox, counters, log
+        self.load_classes = load_classes  # only their statements are searched for a table group
+        self.turns = TurnScheduler(limits.client_turn_us)
         self.loop = asyncio.get_running_loop()
         self.sessions: dict[int, tuple[Session, asyncio.Task[None]]] = {}
         self.idle_since: dict[Session, float] = {}  # sessions without an open query, longest idle first
