Hold input back while the dispatcher has a backlog, and charge steps for their writes

Cause: with a bounded dispatcher turn, an engine that floods a link with notices of a running query could fill the inbox faster than it is emptied; and steps were charged for the receive before them only, so that 100 small messages with their answers made turns of 20 ms. A start-up of 10 KB could still name 5,000 parameters at 0.3 to 0.8 ms.

Change: neither clients' nor engines' input is processed while 256 inputs wait for the dispatcher; a step counts 0.05 ms at least; a start-up names 100 parameters at most.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -97,6 +97,7 @@
         struct.pack("!II", 8, 2 << 16),
         struct.pack("!III", 12, pg.CANCEL_REQUEST, 7),
         struct.pack("!II", 12, 3 << 16) + b"user",
+        struct.pack("!II", 8 + 405, 3 << 16) + b"a\0b\0" * 101 + b"\0",
     ],
 )
 def test_bad_startup_messages(data: bytes) -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -51,7 +51,8 @@
     def __init__(self) -> None:
         self.now_ns = 10 * FORGET_AFTER_NS
         self.steps: list[str] = []
-        self.scheduler = TurnScheduler(TURN_US, lambda: self.now_ns)
+        self.backlogged = False
+        self.scheduler = TurnScheduler(TURN_US, lambda: self.backlogged, lambda: self.now_ns)
 
     def submit(self, name: str, steps: int = 1, step_us: int = 100, size: int = 100) -> ScriptedSource:
         source = ScriptedSource(self, name, steps, step_us, size)
@@ -133,6 +134,19 @@
     run_scene(scenario)
 
 
+def test_no_step_is_run_while_earlier_ones_wait_to_be_processed() -> None:
+    async def scenario(scene: Scene) -> None:
+        scene.backlogged = True
+        source = scene.submit("s", steps=2)
+        await asyncio.sleep(0)
+        assert not scene.steps
+        scene.backlogged = False
+        await asyncio.sleep(0)
+        assert source.processed
+
+    run_scene(scenario)
+
+
 def startup_of(parameter: bytes, size: int = 9900) -> bytes:
     body = struct.pack("!I", 3 << 16) + parameter * (size // len(parameter)) + b"\0"
     return struct.pack("!I", len(body) + 4) + body
--- a/whintrail/gateway/limits.py
+++ b/whintrail/gateway/limits.py
@@ -35,6 +35,7 @@
     log_burst: float  # lines of one kind at once
     log_per_second: float
     open_queries: int  # of all clients together; a connection has at most one
+    inbox_items: int  # that wait for the dispatcher, before no more input is processed
     recent_call_ids: int  # ids of finished queries that are remembered
     attempts_per_link: int
     receives_per_turn: int  # of one connection, before others have a turn of the loop
@@ -102,6 +103,7 @@
             log_burst=5.0,
             log_per_second=1.0,
             open_queries=min(int(get_or_default(engine_limits, "MaxOpen", 20_000)), sockets // 3),
+            inbox_items=256,
             recent_call_ids=10_000,
             attempts_per_link=max(1, int(get_or_default(engine_limits, "MaxStreams", 32))),
             receives_per_turn=4,
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -458,12 +458,16 @@
         self.links: dict[str, list[Link]] = {}
         self.last_probe_number = 0
         self.loop = asyncio.get_running_loop()
-        self.turns = TurnScheduler(limits.engine_turn_us)
+        self.turns = TurnScheduler(limits.engine_turn_us, self.is_inbox_full)
         self.sweep_task = self.loop.create_task(self._sweep_links())
 
     def now_s(self) -> float:
         return self.inbox.clock.now_us() / 1e6
 
+    def is_inbox_full(self) -> bool:
+        """Whether so much waits for the dispatcher that no more is read."""
+        return len(self.inbox.queue) >= self.limits.inbox_items
+
     def load_report(self, answer: engine_protocol.Answer) -> api.LoadReport | None:
         """The load report that comes with an answer, if any."""
         if self.read_report is None or "stats" not in answer.fields:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -11,6 +11,7 @@
 GSS_REQUEST = 80877104
 CANCEL_REQUEST = 80877102
 TEXT_OID = 25
+MAX_STARTUP_PARAMETERS = 100
 PROTOCOL_OPTION_PREFIX = "_pq_."
 ENCRYPTION_DECLINED = b"N"  # answer to a request for encryption
 
@@ -84,6 +85,8 @@
         return CancelRequest(*_startup_header.unpack(body))
     if code >> 16 != PROTOCOL_MAJOR:
         raise ProtocolError(UNSUPPORTED, f"unsupported frontend protocol {code >> 16}.{code & 0xFFFF}")
+    if body.count(b"\0") > 2 * MAX_STARTUP_PARAMETERS + 1:
+        raise ProtocolError(TOO_LARGE, f"more than {MAX_STARTUP_PARAMETERS} parameters in startup packet")
     # The last parameter's zero byte, or nothing at all, precedes the terminator.
     if body[-1:] != b"\0" or body[-2:-1] not in (b"", b"\0"):
         raise ProtocolError(
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -418,7 +418,7 @@
     ) -> None:
         self.limits, self.inbox, self.counters, self.log = limits, inbox, counters, log
         self.load_classes = load_classes  # only their statements are searched for a table group
-        self.turns = TurnScheduler(limits.client_turn_us)
+        self.turns = TurnScheduler(limits.client_turn_us, self.is_inbox_full)
         self.loop = asyncio.get_running_loop()
         self.sessions: dict[int, tuple[Session, asyncio.Task[None]]] = {}
         self.idle_since: dict[Session, float] = {}  # sessions without an open query, longest idle first
@@ -431,6 +431,10 @@
         self.room_available = asyncio.Event()
         self.listener: socket.socket | None = None
 
+    def is_inbox_full(self) -> bool:
+        """Whether so much waits for the dispatcher that no more is read."""
+        return len(self.inbox.queue) >= self.limits.inbox_items
+
     def listen(self, address: tuple[str, int]) -> None:
         """Open the listening socket. Errors: OSError."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/whintrail/gateway/turns.py
+++ b/whintrail/gateway/turns.py
@@ -18,7 +18,7 @@
 from typing import Protocol
 
 EXPECTED_NS_PER_BYTE = 10  # of input, before its cost has been measured
-MIN_STEP_NS = 20_000  # the receive before a step is not measured, and costs about as much
+MIN_STEP_NS = 50_000  # the receive before a step and the write after it are not measured
 MAX_STEP_NS = 250_000  # a longer step met a pause of the process, which is not the source's
 FORGET_AFTER_NS = 100_000_000  # since its last step a source starts anew, so that no debt lasts
 NS_PER_US = 1000
@@ -55,8 +55,14 @@
 class TurnScheduler:
     """Runs the steps of all sources of one kind, for a bounded time in each turn of the event loop."""
 
-    def __init__(self, turn_us: int, clock_ns: Callable[[], int] = time.monotonic_ns) -> None:
+    def __init__(
+        self,
+        turn_us: int,
+        is_backlogged: Callable[[], bool],
+        clock_ns: Callable[[], int] = time.monotonic_ns,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._is_backlogged = is_backlogged  # what steps produce waits to be processed: none is run now
         self._clock_ns = clock_ns
         self._turn_ns = turn_us * NS_PER_US
         self._spent_ns = 0  # since the last turn began
@@ -70,7 +76,7 @@
         """Process the source's input: now if there is time left and nobody waits, else in a later turn."""
         if source.share.queued:
             return
-        while self._has_time and not self._waiting and not self._in_step:
+        while self._may_step and not self._waiting and not self._in_step:
             self._set_start(source.share)
             if not self._run_step(source):
                 source.on_input_processed()
@@ -78,8 +84,8 @@
         self._enqueue(source)
 
     @property
-    def _has_time(self) -> bool:
-        return self._spent_ns < self._turn_ns
+    def _may_step(self) -> bool:
+        return self._spent_ns < self._turn_ns and not self._is_backlogged()
 
     def _set_start(self, share: Share) -> None:
         is_recent = self._clock_ns() - share.last_step_ns < FORGET_AFTER_NS
@@ -98,7 +104,7 @@
     def _run_turn(self) -> None:
         self._turn_scheduled = False
         self._spent_ns = 0
-        while self._waiting and self._has_time:
+        while self._waiting and self._may_step:
             _, _, source = heappop(self._waiting)
             source.share.queued = False
             if self._run_step(source):
