Serve waiting connections by their start times, and notice clients that leave while they wait

Virtual time counted only connections that wait at the moment, ran ahead of those served and made a usual client one more newcomer behind a whole round.

Change: start-time fair queueing; virtual time moves by a step's cost over the connections that there may be, or to the last start served; a connection that has used less than its part keeps 0.1 ms of it. One receive ahead of the turn, where a whole message waits, ends the session of a client that has left, and its query is not processed.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,12 +8,13 @@
 
 import pytest
 
-from tests.test_crossings import SessionHarness, run_with_sessions
-from whintrail.gateway.dispatcher import QueryReceived
-from whintrail.gateway.turns import FORGET_AFTER_NS, Share, TurnScheduler
+from tests.test_crossings import SessionHarness, cancel_request, run_with_sessions
+from whintrail.gateway.dispatcher import ClientDeparted, QueryReceived
+from whintrail.gateway.turns import FORGET_AFTER_NS, TurnScheduler
 from whintrail.standins.scripted import Client, query
 
 TURN_US = 2000
+MAX_SOURCES = 100
 TURNS_UNTIL_MESSAGES_ARE_WHOLE = 5
 LATE_ANSWER_S = 0.5  # a final answer may come by so much after its time
 
@@ -23,7 +24,7 @@
 
     def __init__(self, scene: "Scene", name: str, steps: int, step_us: int, size: int = 100) -> None:
         self.scene, self.name, self.steps, self.step_us, self.size = scene, name, steps, step_us, size
-        self.share = Share()
+        self.share = scene.scheduler.new_share()
         self.processed = False
         self.error: Exception | None = None
 
@@ -52,7 +53,7 @@
         self.now_ns = 10 * FORGET_AFTER_NS
         self.steps: list[str] = []
         self.backlogged = False
-        self.scheduler = TurnScheduler(TURN_US, lambda: self.backlogged, lambda: self.now_ns)
+        self.scheduler = TurnScheduler(TURN_US, MAX_SOURCES, lambda: self.backlogged, lambda: self.now_ns)
 
     def submit(self, name: str, steps: int = 1, step_us: int = 100, size: int = 100) -> ScriptedSource:
         source = ScriptedSource(self, name, steps, step_us, size)
@@ -84,14 +85,20 @@
 
 def test_a_cheap_source_that_comes_late_goes_before_costly_ones() -> None:
     async def scenario(scene: Scene) -> None:
+        cheap = scene.submit("cheap", step_us=20)
         for number in range(100):
             scene.submit(f"costly {number}", steps=50, step_us=500, size=16_000)
         for _ in range(60):
             await asyncio.sleep(0)
-        cheap = scene.submit("cheap", step_us=20)
+        newcomer = scene.submit("newcomer", step_us=20)
+        cheap.processed = False
+        scene.scheduler.submit(cheap)
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert cheap.processed
+        for _ in range(25):  # a round of all 100 takes so long
+            await asyncio.sleep(0)
+        assert newcomer.processed
 
     run_scene(scenario)
 
@@ -237,6 +244,50 @@
     run_with_sessions(scenario)
 
 
+def hold_turns(harness: SessionHarness) -> Callable[[], None]:
+    """Process no input until the returned function is called."""
+    scheduler = harness.sessions.turns
+    is_backlogged = scheduler._is_backlogged
+    scheduler._is_backlogged = lambda: True
+
+    def release() -> None:
+        scheduler._is_backlogged = is_backlogged
+
+    return release
+
+
+def test_a_client_that_leaves_while_its_query_waits_is_not_served() -> None:
+    """Guards against sessions of departed clients that fill the limit on connections while they wait."""
+
+    async def scenario(harness: SessionHarness) -> None:
+        sock, process, _ = await harness.connect_client()
+        release = hold_turns(harness)
+        sock.sendall(Client.simple_query(query()))
+        await asyncio.sleep(0.02)
+        sock.close()
+        await harness.wait_until(lambda: process not in harness.sessions.sessions)
+        release()
+        await asyncio.sleep(0.02)
+        assert not harness.received(QueryReceived)
+
+    run_with_sessions(scenario)
+
+
+def test_a_cancel_request_that_waits_is_valid_although_its_sender_has_left() -> None:
+    async def scenario(harness: SessionHarness) -> None:
+        sock, process, secret = await harness.connect_client()
+        sock.sendall(Client.simple_query(query()))
+        await harness.wait_until(lambda: harness.received(QueryReceived))
+        release = hold_turns(harness)
+        harness.connect(cancel_request(process, secret)).close()
+        await asyncio.sleep(0.05)
+        assert not harness.received(ClientDeparted)
+        release()
+        await harness.wait_until(lambda: harness.received(ClientDeparted))
+
+    run_with_sessions(scenario)
+
+
 def test_a_search_that_gets_no_time_ends_without_a_group() -> None:
     async def scenario(harness: SessionHarness) -> None:
         harness.sessions.load_classes = frozenset(["load"])
--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -26,7 +26,7 @@
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
 from whintrail.gateway.postgres import Rows, encode_data_rows
-from whintrail.gateway.turns import Share, TurnScheduler
+from whintrail.gateway.turns import TurnScheduler
 
 UPDATE_TOPICS = {
     "done": api.StatusTopic.PROGRESS,
@@ -75,7 +75,7 @@
         self.last_received_us = pool.inbox.clock.now_us()
         self.partial_since_us: int | None = None  # first byte of an incomplete answer
         self.closing = False
-        self.share = Share()  # of the turns of the event loop
+        self.share = pool.turns.new_share()  # of the turns of the event loop
         self.input_processed = asyncio.Event()
         self.input_error: Exception | None = None  # what the engine sent can't be used
         self.task = asyncio.get_running_loop().create_task(self._run())
@@ -458,7 +458,7 @@
         self.links: dict[str, list[Link]] = {}
         self.last_probe_number = 0
         self.loop = asyncio.get_running_loop()
-        self.turns = TurnScheduler(limits.engine_turn_us, self.is_inbox_full)
+        self.turns = TurnScheduler(limits.engine_turn_us, limits.engine_connections, self.is_inbox_full)
         self.sweep_task = self.loop.create_task(self._sweep_links())
 
     def now_s(self) -> float:
--- a/whintrail/gateway/postgres.py
+++ b/whintrail/gateway/postgres.py
@@ -101,6 +101,14 @@
     return [name for name in parameters if name.startswith(PROTOCOL_OPTION_PREFIX)]
 
 
+def has_message(buffer: Buffer) -> bool:
+    """Whether the next message is complete."""
+    if len(buffer) < _message_header.size:
+        return False
+    _, length = _message_header.unpack(buffer.peek(_message_header.size))
+    return len(buffer) > int(length)
+
+
 def next_message_bytes(buffer: Buffer) -> int:
     """The size of the next message, or of the buffered part of it."""
     if len(buffer) < _message_header.size:
--- a/whintrail/gateway/sessions.py
+++ b/whintrail/gateway/sessions.py
@@ -14,7 +14,7 @@
 from whintrail.gateway.limits import Limits
 from whintrail.gateway.log import Log
 from whintrail.gateway.statement import Statement, StatementError, read_statement
-from whintrail.gateway.turns import Share, TurnScheduler
+from whintrail.gateway.turns import TurnScheduler
 
 SERVER_PARAMETERS = {
     "server_version": "15.0 (whintrail)",
@@ -62,7 +62,8 @@
         )
         self.skipping_to_sync = False  # skip messages until Sync, after an error in the extended protocol
         self.ended_at: float | None = None  # from then on input is discarded and no answer is sent
-        self.share = Share()  # of the turns of the event loop
+        self.share = server.turns.new_share()  # of the turns of the event loop
+        self.received_ahead = False  # input was received while earlier input waits for its turn
         self.input_error: Exception | None = None  # a fault, which ends the session
         self.statement_in_parsing: StatementInParsing | None = None
         self.cancel_next_query = False  # a cancel request arrived before its query was read
@@ -90,7 +91,7 @@
         receive_count = 0
         try:
             while True:
-                if self.share.queued:  # one connection's input is not read faster than it is processed
+                if self._must_wait_for_turn:
                     self.resume_reading.clear()
                     await self.resume_reading.wait()
                     continue
@@ -105,7 +106,10 @@
                     continue
                 elif not await connection.receive():
                     break
-                self.server.turns.submit(self)
+                if self.share.queued:
+                    self.received_ahead = True
+                else:
+                    self.server.turns.submit(self)
                 receive_count += 1
                 # Let other tasks run, even if the client never stops sending.
                 if receive_count % receives_per_turn == 0:
@@ -115,6 +119,16 @@
             self.server.remove_session(self)
             await connection.close()
 
+    @property
+    def _must_wait_for_turn(self) -> bool:
+        """Whether nothing is received until the turn in which earlier input is processed.
+
+        If a whole message waits, one further receive notices that the client has left meanwhile. More would
+        read faster than is processed.
+        """
+        has_message = self.startup_done and pg.has_message(self.connection.buffer)
+        return self.share.queued and (self.received_ahead or not has_message)
+
     def _detach_client(self) -> None:
         """Mark the session ended and its query as left by the client.
 
@@ -234,6 +248,7 @@
         waits_for_query = self.open_query is None and not self.answering and self.admitted
         if self.receive_deadline is None and waits_for_query and len(self.connection.buffer):
             self.receive_deadline = self.now() + self.limits.query_receive_timeout_s
+        self.received_ahead = False
         self.resume_reading.set()
 
     def _read_startup(self) -> bool:
@@ -418,7 +433,7 @@
     ) -> None:
         self.limits, self.inbox, self.counters, self.log = limits, inbox, counters, log
         self.load_classes = load_classes  # only their statements are searched for a table group
-        self.turns = TurnScheduler(limits.client_turn_us, self.is_inbox_full)
+        self.turns = TurnScheduler(limits.client_turn_us, limits.client_connections, self.is_inbox_full)
         self.loop = asyncio.get_running_loop()
         self.sessions: dict[int, tuple[Session, asyncio.Task[None]]] = {}
         self.idle_since: dict[Session, float] = {}  # sessions without an open query, longest idle first
--- a/whintrail/gateway/turns.py
+++ b/whintrail/gateway/turns.py
@@ -2,11 +2,11 @@
 
 One turn spends a bounded time on the input of all connections together. What is left waits for later turns,
 in which the loop has also run timers, answers and all other tasks. Connections that wait are served in the
-order of fair queueing: each is due when it would have finished if all shared the processor equally, so one
-that has cost little goes before those that have cost much, whatever they sent.
+order of fair queueing: each continues, in virtual time, where its last step would have ended if all shared
+the processor equally. One that has cost little goes before those that have cost much, whatever they sent.
 
-The order follows A. Demers, S. Keshav, S. Shenker, "Analysis and Simulation of a Fair Queueing Algorithm",
-SIGCOMM 1989, with measured processing time in place of bytes sent.
+The order follows P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queueing", SIGCOMM 1996, with measured
+processing time in place of bytes sent.
 """
 
 import asyncio
@@ -17,9 +17,10 @@
 from itertools import count
 from typing import Protocol
 
-EXPECTED_NS_PER_BYTE = 10  # of input, before its cost has been measured
+EXPECTED_NS_PER_BYTE = 5  # of input, before its cost has been measured
 MIN_STEP_NS = 50_000  # the receive before a step and the write after it are not measured
 MAX_STEP_NS = 250_000  # a longer step met a pause of the process, which is not the source's
+IDLE_CREDIT_NS = 100_000  # unused time that a source keeps: it goes before those that have used theirs
 FORGET_AFTER_NS = 100_000_000  # since its last step a source starts anew, so that no debt lasts
 NS_PER_US = 1000
 
@@ -28,9 +29,9 @@
 class Share:
     """What one connection has used of the processor."""
 
+    finish_ns: float  # when its last step would have ended with all sharing equally, in virtual time
+    last_step_ns: int  # by the monotonic clock
     start_ns: float = 0.0  # when its next step may begin, in virtual time
-    finish_ns: float = 0.0  # when its last step would have ended with all sharing equally, in virtual time
-    last_step_ns: int = 0  # by the monotonic clock
     queued: bool = False
 
 
@@ -58,20 +59,26 @@
     def __init__(
         self,
         turn_us: int,
+        max_sources: int,
         is_backlogged: Callable[[], bool],
         clock_ns: Callable[[], int] = time.monotonic_ns,
     ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._max_sources = max_sources
         self._is_backlogged = is_backlogged  # what steps produce waits to be processed: none is run now
         self._clock_ns = clock_ns
         self._turn_ns = turn_us * NS_PER_US
         self._spent_ns = 0  # since the last turn began
         self._virtual_ns = 0.0
-        self._waiting: list[tuple[float, int, InputSource]] = []  # a heap, by virtual finish time
+        self._waiting: list[tuple[float, int, InputSource]] = []  # a heap, by virtual start time
         self._sequence = count()
         self._turn_scheduled = False
         self._in_step = False
 
+    def new_share(self) -> Share:
+        """The share of a new connection; it has no credit, as it is easily replaced by another one."""
+        return Share(finish_ns=self._virtual_ns, last_step_ns=self._clock_ns())
+
     def submit(self, source: InputSource) -> None:
         """Process the source's input: now if there is time left and nobody waits, else in a later turn."""
         if source.share.queued:
@@ -89,7 +96,8 @@
 
     def _set_start(self, share: Share) -> None:
         is_recent = self._clock_ns() - share.last_step_ns < FORGET_AFTER_NS
-        share.start_ns = max(share.finish_ns, self._virtual_ns) if is_recent else self._virtual_ns
+        earliest_ns = self._virtual_ns - IDLE_CREDIT_NS
+        share.start_ns = max(share.finish_ns, earliest_ns) if is_recent else earliest_ns
 
     def _enqueue(self, source: InputSource) -> None:
         share = source.share
@@ -130,5 +138,6 @@
         self._spent_ns += cost_ns
         charged_ns = min(cost_ns, MAX_STEP_NS)
         share.last_step_ns, share.finish_ns = ended_ns, share.start_ns + charged_ns
-        self._virtual_ns += charged_ns / (len(self._waiting) + 1)
+        # As much as each would have got if all connections had work, or up to the last that was served.
+        self._virtual_ns = max(self._virtual_ns + charged_ns / self._max_sources, share.start_ns)
         return has_more
