--- a/whintrail/gateway/links.py
+++ b/whintrail/gateway/links.py
@@ -309,7 +309,7 @@
         return 0 if self.connection is None else len(self.connection.buffer)
 
     def process_next(self) -> bool:
-        """Process the next answer; returns whether there was one."""
+        """Process the next answer; returns whether there is more to process."""
         assert self.connection is not None
         buffer = self.connection.buffer
         answer = engine_protocol.read_answer(buffer, self.limits.engine_line_bytes, self.limits.page_bytes)
