Make the capacity page independent of the last bits of its fits

Cause: the least-squares solution differs in its last bits between processors, and texts, forms, errors and interval bounds depended on these bits. On arm64 four tests of the capacity model failed, always the same.

Coefficients and residuals of the size of rounding are 0, so standard errors are too. Comparisons that choose a form, a budget's crossing or "within" allow for rounding. An estimate orders its bounds, so that low <= value <= high always holds; a prediction from an exact fit has a range of the size of rounding. Ratios and exponents have one format, in which 1 is 1.000.

No measured file and no calculated value changes.

Not run on x86-64, as no such machine was at hand.

--- a/whintrail/scale/capacity.py
+++ b/whintrail/scale/capacity.py
@@ -18,6 +18,7 @@
 from whintrail.scale import inputs
 from whintrail.scale.fitting import Fit, FitError, fit
 from whintrail.scale.results import Kind, Sample
+from whintrail.scale.rounding import exceeds
 
 Dimension = Literal["engines", "gateways"]
 RowDimension = Literal["engines", "gateways", "both", "neither"]
@@ -47,19 +48,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """A value with its 95% prediction interval."""
+    """A value with its 95% prediction interval, which always contains it."""
 
     value: float
     low: float
     high: float
 
+    def __post_init__(self) -> None:
+        """Orders the bounds: products and differences of bounds may swap them, if only by rounding."""
+        bounds = (self.low, self.value, self.high)
+        object.__setattr__(self, "low", min(bounds))
+        object.__setattr__(self, "high", max(bounds))
+
     def __add__(self, other: "Estimate") -> "Estimate":
         return Estimate(self.value + other.value, self.low + other.low, self.high + other.high)
 
     @property
     def is_wide(self) -> bool:
         """Whether the range is too wide to be conclusive."""
-        return not math.isfinite(self.high) or self.high - self.low > WIDE_RANGE_RATIO * self.value
+        return not math.isfinite(self.high) or exceeds(self.high - self.low, WIDE_RANGE_RATIO * self.value)
 
     def __mul__(self, factor: float) -> "Estimate":
         """Scales value and range by a positive factor."""
@@ -244,10 +251,10 @@
         An inconclusive value counts only if its lower bound exceeds the budget as well, or if the budget is
         certainly exceeded at a smaller size.
         """
-        if self.value is None or self.row.budget is None or self.value.value <= self.row.budget:
+        if self.value is None or self.row.budget is None or not exceeds(self.value.value, self.row.budget):
             return False
         is_crossing_certain = self.crossing is not None and self.crossing.is_certain
-        return not self.is_inconclusive or self.value.low > self.row.budget or is_crossing_certain
+        return not self.is_inconclusive or exceeds(self.value.low, self.row.budget) or is_crossing_certain
 
     @property
     def budget_share(self) -> float | None:
@@ -296,7 +303,7 @@
         raise ValueError(f"row {row.key!r} has no budget")
     if row.grows_with == "neither":
         estimate = row.evaluate(EvaluationPoint(*target_size(), fit_cache))
-        is_exceeded = estimate.value > row.budget
+        is_exceeded = exceeds(estimate.value, row.budget)
         size = 0.0 if is_exceeded else None
         return BudgetCrossing(size, 0.0 if is_exceeded else math.inf, size, size)
     fleet_size_at, budget = _fleet_size_at(row.grows_with), row.budget
@@ -305,12 +312,12 @@
     def estimate_at(x: float) -> Estimate:
         return row.evaluate(EvaluationPoint(*fleet_size_at(x), fit_cache))
 
-    def exceeds(x: float, bound: str) -> bool:
-        return float(getattr(estimate_at(x), bound)) > budget
+    def exceeds_budget(x: float, bound: str) -> bool:
+        return exceeds(float(getattr(estimate_at(x), bound)), budget)
 
     max_size = SEARCH_LIMIT_FACTOR * target_size()[1 if row.grows_with == "engines" else 0]
     size_by_bound = {
-        bound: _smallest_exceeding_size(lambda x, b=bound: exceeds(x, b), max_size)  # type: ignore[misc]
+        bound: _smallest_exceeding_size(lambda x, b=bound: exceeds_budget(x, b), max_size)  # type: ignore[misc]
         for bound in ("value", "high", "low")
     }
     size = size_by_bound["value"]
@@ -341,11 +348,11 @@
     return max(low for low, _ in ranges), min(high for _, high in ranges)
 
 
-def _smallest_exceeding_size(exceeds: Callable[[float], bool], max_size: float) -> float | None:
+def _smallest_exceeding_size(is_exceeded: Callable[[float], bool], max_size: float) -> float | None:
     """The smallest size from 1 on that exceeds, for an increasing value: a grid search, then bisection."""
     steps = 120
     grid = [math.exp(math.log(max_size) * index / steps) for index in range(steps + 1)]
-    index = next((index for index, size in enumerate(grid) if exceeds(size)), None)
+    index = next((index for index, size in enumerate(grid) if is_exceeded(size)), None)
     if index is None:
         return None
     if index == 0:
@@ -353,7 +360,7 @@
     low, high = grid[index - 1], grid[index]
     while high - low > 1e-4 * high:
         midpoint = (low + high) / 2
-        low, high = (low, midpoint) if exceeds(midpoint) else (midpoint, high)
+        low, high = (low, midpoint) if is_exceeded(midpoint) else (midpoint, high)
     return high
 
 
--- a/whintrail/scale/fitting.py
+++ b/whintrail/scale/fitting.py
@@ -4,7 +4,9 @@
 Costs are measured over three decades of sizes, and their scatter between sizes (caches, a busy machine) is
 proportional to the value, so the error of a size is at least `MIN_RELATIVE_ERROR` of its value. The errors
 are taken as known up to a common factor, which is estimated from the residuals (Press et al., "Numerical
-Recipes", 3rd ed., 15.2). All intervals are 95% intervals by Student's t.
+Recipes", 3rd ed., 15.2). All intervals are 95% intervals by Student's t. Coefficients and residuals of the
+size of rounding errors are 0, and comparisons allow for rounding (`rounding.py`): forms and errors are the
+same on every machine.
 """
 
 import math
@@ -16,6 +18,7 @@
 from numpy.typing import NDArray
 
 from whintrail.scale.results import Kind, Sample
+from whintrail.scale.rounding import ROUNDING, exceeds, is_rounding_error, settle
 
 MIN_RELATIVE_ERROR = 0.02  # of the value: lower limit of a median's standard error
 MAX_RELATIVE_RESIDUAL = 0.15  # of the value: a form is rejected if any size lies further from its curve
@@ -115,18 +118,27 @@
         return float(math.sqrt(max(0.0, self.covariance[index, index])))
 
 
-def solve_least_squares(design: FloatArray, values: FloatArray, errors: FloatArray) -> LeastSquares:
-    """Fit `values`, each with its standard error, to the columns of a design matrix."""
+def solve_least_squares(
+    design: FloatArray, values: FloatArray, errors: FloatArray, magnitudes: FloatArray | None = None
+) -> LeastSquares:
+    """Fit `values`, each with its standard error, to the columns of a design matrix.
+
+    `magnitudes`: what the values' rounding errors are relative to; by default the values themselves.
+    """
     weighted_design, weighted_values = design / errors[:, None], values / errors
+    reference = float(np.linalg.norm((np.abs(values) if magnitudes is None else magnitudes) / errors))
     # Columns differ by orders of magnitude (1 and 15,000 squared), so they are normalized first.
     norms = np.linalg.norm(weighted_design, axis=0)
     inverse = np.linalg.pinv(weighted_design / norms)
-    coefficients = inverse @ weighted_values / norms
+    contributions = inverse @ weighted_values
+    contributions[np.abs(contributions) <= ROUNDING * reference] = 0.0
+    coefficients = contributions / norms
     degrees_of_freedom = len(values) - design.shape[1]
     residuals = weighted_values - weighted_design @ coefficients
-    error_scale = (
-        math.sqrt(float(residuals @ residuals) / degrees_of_freedom) if degrees_of_freedom > 0 else 1.0
-    )
+    residual_norm = math.sqrt(float(residuals @ residuals))
+    if is_rounding_error(residual_norm, reference):
+        residual_norm = 0.0
+    error_scale = residual_norm / math.sqrt(degrees_of_freedom) if degrees_of_freedom > 0 else 1.0
     covariance = (inverse @ inverse.T) / np.outer(norms, norms) * error_scale**2
     return LeastSquares(coefficients, covariance, error_scale, degrees_of_freedom)
 
@@ -199,11 +211,14 @@
     ones = np.ones_like(sizes)
     line = solve_least_squares(np.stack([ones, sizes], axis=1), values, errors)
     residuals = np.abs(values - line.coefficients[0] - line.coefficients[1] * sizes) / reference
+    residuals[residuals <= ROUNDING] = 0.0
     noise = float(np.median(errors / reference))
     power = None
     exponent = exponent_error = math.nan
     if (values > 0).all() and (sizes > 0).all():
-        power = solve_least_squares(np.stack([ones, np.log(sizes)], axis=1), np.log(values), errors / values)
+        power = solve_least_squares(
+            np.stack([ones, np.log(sizes)], axis=1), np.log(values), errors / values, ones
+        )
         exponent, exponent_error = float(power.coefficients[1]), power.standard_error(1)
 
     form, curve = _classify(sizes, values, errors, allowed, noise, line, residuals, power)
@@ -238,18 +253,21 @@
 
     The forms are tried in this order: constant, line, power, quadratic, step.
     """
+    allowed = allowed * (1 + ROUNDING)
     line_curve = _polynomial_curve(line, noise)
     rise = abs(float(line.coefficients[1])) * float(sizes.max() - sizes.min())
     size_count = len(np.unique(sizes))
     mean = float(np.abs(values).mean())
-    is_rising = abs(float(line.coefficients[1])) > student_t(line.degrees_of_freedom) * line.standard_error(1)
-    if bool((residuals <= allowed).all()) and rise <= MAX_CONSTANT_RISE * mean and is_rising:
+    is_rising = exceeds(
+        abs(float(line.coefficients[1])), student_t(line.degrees_of_freedom) * line.standard_error(1)
+    )
+    if bool((residuals <= allowed).all()) and not exceeds(rise, MAX_CONSTANT_RISE * mean) and is_rising:
         return "constant", line_curve  # the slope is significant but small
     flat = solve_least_squares(np.ones((len(sizes), 1)), values, errors)
     mean_level = float(flat.coefficients[0])
     if (
         not is_rising
-        and rise <= MAX_LOOSE_RESIDUAL * mean
+        and not exceeds(rise, MAX_LOOSE_RESIDUAL * mean)
         and bool((np.abs(values - mean_level) <= allowed * abs(mean_level)).all())
     ):
         # An insignificant slope would dominate the estimate when extrapolated, so it is dropped.
@@ -260,10 +278,11 @@
             np.stack([np.ones_like(sizes), sizes, sizes**2], axis=1), values, errors
         )
         quadratic_rise = float(quadratic.coefficients[2]) * float(sizes.max()) ** 2
-        is_significant = abs(float(quadratic.coefficients[2])) > student_t(
-            quadratic.degrees_of_freedom
-        ) * quadratic.standard_error(2)
-        if not is_significant or abs(quadratic_rise) <= MIN_QUADRATIC_SHARE * rise:
+        is_significant = exceeds(
+            abs(float(quadratic.coefficients[2])),
+            student_t(quadratic.degrees_of_freedom) * quadratic.standard_error(2),
+        )
+        if not is_significant or not exceeds(abs(quadratic_rise), MIN_QUADRATIC_SHARE * rise):
             quadratic = None
     if bool((residuals <= allowed).all()) and quadratic is None:
         return "linear" if size_count > 2 else "linear, of two sizes", line_curve
@@ -272,11 +291,12 @@
         if power is not None
         else 0.0
     )
-    if power is not None and exponent_offset > max(MIN_EXPONENT_OFFSET, 2 * power.standard_error(1)):
+    if power is not None and exceeds(exponent_offset, max(MIN_EXPONENT_OFFSET, 2 * power.standard_error(1))):
         curve = _power_curve(power, noise)
         deviations = np.array([abs(curve(float(x))[0] / y - 1) for x, y in zip(sizes, values, strict=True)])
         if bool((deviations <= allowed).all()):
-            return f"power {power.coefficients[1]:.2f} +- {power.standard_error(1):.2f}", curve
+            exponent, error = settle(float(power.coefficients[1])), settle(power.standard_error(1))
+            return f"power {exponent:.2f} +- {error:.2f}", curve
     if quadratic is not None:
         curve = _polynomial_curve(quadratic, noise)
         deviations = np.array([abs(curve(float(x))[0] - y) for x, y in zip(sizes, values, strict=True)])
@@ -285,23 +305,26 @@
     levels = np.array([float(np.median(values[sizes == x])) for x in np.unique(sizes)])
     jumps = np.abs(np.diff(levels))
     largest = int(jumps.argmax())
-    if size_count >= 4 and jumps[largest] >= MIN_STEP_SHARE * float(jumps.sum()):
+    if size_count >= 4 and not exceeds(MIN_STEP_SHARE * float(jumps.sum()), float(jumps[largest])):
         low, high = (int(x) for x in np.unique(sizes)[largest : largest + 2])
         return f"step between {low} and {high}", _interpolated_curve(
             np.unique(sizes), levels, float(residuals.max())
         )
     bound = float(residuals.max())
-    if bound <= MAX_LOOSE_RESIDUAL:
-        if is_rising or rise > MAX_LOOSE_RESIDUAL * mean:
-            return f"linear, within {bound:.0%}", line_curve
-        return f"constant, within {bound:.0%}", _polynomial_curve(flat, noise)
-    return f"no line: off by up to {bound:.0%}", _interpolated_curve(np.unique(sizes), levels, bound)
+    bound_text = f"{settle(bound):.0%}"
+    if not exceeds(bound, MAX_LOOSE_RESIDUAL):
+        if is_rising or exceeds(rise, MAX_LOOSE_RESIDUAL * mean):
+            return f"linear, within {bound_text}", line_curve
+        return f"constant, within {bound_text}", _polynomial_curve(flat, noise)
+    return f"no line: off by up to {bound_text}", _interpolated_curve(np.unique(sizes), levels, bound)
 
 
 def _polynomial_curve(squares: LeastSquares, noise: float) -> Curve:
     def curve(x: float) -> tuple[float, float]:
         row = np.array([x**power for power in range(len(squares.coefficients))], dtype=np.float64)
         value = float(row @ squares.coefficients)
+        if is_rounding_error(value, float(np.abs(row) @ np.abs(squares.coefficients))):
+            value = 0.0
         own_scatter = noise * squares.error_scale * abs(value)  # the scatter of a single measurement
         half = student_t(squares.degrees_of_freedom) * math.sqrt(
             max(0.0, float(row @ squares.covariance @ row)) + own_scatter**2
@@ -332,7 +355,10 @@
     def curve(x: float) -> tuple[float, float]:
         value = float(np.interp(x, sizes, levels))
         if x > sizes[-1]:
+            last_level = value
             value += float((levels[-1] - levels[-2]) / (sizes[-1] - sizes[-2])) * (x - float(sizes[-1]))
+            if is_rounding_error(value, last_level):
+                value = 0.0
         return value, bound * abs(value)
 
     return curve
--- a/whintrail/scale/page.py
+++ b/whintrail/scale/page.py
@@ -27,6 +27,7 @@
     load_results,
     save_results,
 )
+from whintrail.scale.rounding import ROUNDING
 from whintrail.scale.tables import Prediction, PredictionFile
 
 ROOT = Path(__file__).parents[2]
@@ -197,14 +198,15 @@
     except capacity.NotMeasured as error:
         raise ValueError(f"{wanted.quantity}: a prediction needs samples at two sizes") from error
     value, low, high = fit.estimate_at(size)
+    rounding = 0.5 * ROUNDING * abs(value)  # of an exact fit: another machine may find it in the last bits
     return Prediction(
         quantity=wanted.quantity,
         unit=fit.unit,
         gateways=wanted.gateways,
         engines=wanted.engines,
         value=value,
-        low=low,
-        high=high,
+        low=min(low, value - rounding),
+        high=max(high, value + rounding),
         kind=wanted.kind,
         role=wanted.role,
         subset=wanted.subset,
--- a/whintrail/scale/rates.py
+++ b/whintrail/scale/rates.py
@@ -20,6 +20,7 @@
     target_size,
 )
 from whintrail.scale.inputs import input_value
+from whintrail.scale.rounding import exceeds
 from whintrail.scale.rows import (
     CHANGE_BROADCAST_BYTES,
     CHANGES_PER_S,
@@ -70,8 +71,8 @@
         if self.value is None or budget is None:
             return False
         if self.is_inconclusive and self.at_largest_measured is not None:
-            return self.at_largest_measured[0].value > budget
-        return self.value.value > budget
+            return exceeds(self.at_largest_measured[0].value, budget)
+        return exceeds(self.value.value, budget)
 
 
 def evaluate_fact(fact: Fact, fit_cache: FitCache, size: tuple[float, float] | None = None) -> FactResult:
--- a/whintrail/scale/tables.py
+++ b/whintrail/scale/tables.py
@@ -18,6 +18,7 @@
 )
 from whintrail.scale.fitting import Fit
 from whintrail.scale.results import Results, Sample
+from whintrail.scale.rounding import ROUNDING, decade, exceeds, settle
 
 NOT_MEASURED = "not measured"
 INCONCLUSIVE = "not told by its sizes"
@@ -61,14 +62,32 @@
 
 
 def format_number(value: float) -> str:
-    """Three significant digits with thousands separators; whole numbers below ten million in full."""
+    """Three significant digits with thousands separators; whole numbers below ten million in full.
+
+    A number within rounding of another one with few digits has the text of that one.
+    """
+    value = settle(value)
+    if value == 0 or (math.isfinite(value) and value == round(value) and abs(value) < 1e7):
+        return f"{value:,.0f}"
+    return _three_digits(value, value)
+
+
+def format_ratio(value: float) -> str:
+    """Three significant digits of a ratio or an exponent, also of a whole number: it counts nothing.
+
+    A power of ten has the decimals of the numbers just below it, which are rounded to it: 1 is 1.000.
+    """
+    value = settle(value)
+    return _three_digits(value, value * (1 - ROUNDING)) if value else "0"
+
+
+def _three_digits(value: float, near_value: float) -> str:
+    """Three significant digits; the number near the value decides how many decimals these are."""
     if not math.isfinite(value):
         return EMPTY_CELL
-    if value == round(value) and abs(value) < 1e7:
-        return f"{value:,.0f}"
-    decimals = 2 - math.floor(math.log10(abs(value)))
+    decimals = 2 - decade(near_value)
     rounded = round(value, decimals)
-    return f"{rounded:,.{max(0, decimals)}f}" if decimals > 0 else f"{rounded:,.0f}"
+    return f"{rounded:,.{max(0, decimals)}f}"
 
 
 def zero_if_negligible(value: float, reference: float) -> float:
@@ -83,11 +102,12 @@
     """A value with its unit: shares as percentages, large byte counts in KB or MB."""
     if unit == "share":
         return f"{format_number(100 * value)}%"
-    if unit == "bytes" and abs(value) >= 1e6:
+    magnitude = abs(settle(value))
+    if unit == "bytes" and magnitude >= 1e6:
         return f"{format_number(value / (1 << 20))} MB"
-    if unit == "bytes" and abs(value) >= 1e4:
+    if unit == "bytes" and magnitude >= 1e4:
         return f"{format_number(value / 1024)} KB"
-    if unit == "bytes/s" and abs(value) >= 1e4:
+    if unit == "bytes/s" and magnitude >= 1e4:
         return f"{format_number(value / 1024)} KB/s"
     if unit == "1/s":
         return f"{format_number(value)}/s"
@@ -97,7 +117,7 @@
 def format_estimate(estimate: Estimate, unit: str) -> str:
     """A value with its range in brackets; without a range if it is exact."""
     text = format_quantity(estimate.value, unit)
-    if estimate.high - estimate.low <= 1e-9 * abs(estimate.value):
+    if max(estimate.high - estimate.value, estimate.value - estimate.low) <= ROUNDING * abs(estimate.value):
         return text
     low = zero_if_negligible(estimate.low, estimate.value)
     high = zero_if_negligible(estimate.high, estimate.value)
@@ -277,7 +297,7 @@
             continue
         exponent_error = zero_if_negligible(fit.exponent_error, fit.exponent)
         exponent = (
-            f"{format_number(fit.exponent)} +- {format_number(exponent_error)}"
+            f"{format_ratio(fit.exponent)} +- {format_number(exponent_error)}"
             if fit.exponent == fit.exponent  # not NaN
             else EMPTY_CELL
         )
@@ -472,13 +492,14 @@
             body.append([*row, "not run", EMPTY_CELL, EMPTY_CELL])
             continue
         value = samples[-1].value
-        ratio = format_number(value / prediction.value) if prediction.value else EMPTY_CELL
+        ratio = format_ratio(value / prediction.value) if prediction.value else EMPTY_CELL
+        is_within = not exceeds(prediction.low, value) and not exceeds(value, prediction.high)
         body.append(
             [
                 *row,
                 format_quantity(value, prediction.unit),
                 ratio,
-                "yes" if prediction.low <= value <= prediction.high else "**no**",
+                "yes" if is_within else "**no**",
             ]
         )
     return markdown_table(head, body)
@@ -694,7 +715,7 @@
                 [
                     *cells,
                     format_estimate(estimate, unit),
-                    format_number(value / estimate.value) if estimate.value else EMPTY_CELL,
+                    format_ratio(value / estimate.value) if estimate.value else EMPTY_CELL,
                 ]
             )
     head = ("what", "gateways", "engines", "hollow", "cores or simulated", "ratio")
@@ -781,13 +802,13 @@
         except capacity.NotMeasured:
             continue
         common = [size for size in old.sizes if size in new.sizes]
-        if (
-            not common
-            or not old.estimate_at(common[-1])[0] > MIN_IMPROVEMENT_RATIO * new.estimate_at(common[-1])[0] > 0
-        ):
+        if not common:
+            continue
+        old_value, new_value = (fit.estimate_at(common[-1])[0] for fit in (old, new))
+        if new_value <= 0 or not exceeds(old_value, MIN_IMPROVEMENT_RATIO * new_value):
             continue
         size = f"{common[-1]:,} {key.grows_with}"
-        before, after = (format_quantity(fit.estimate_at(common[-1])[0], fit.unit) for fit in (old, new))
+        before, after = format_quantity(old_value, old.unit), format_quantity(new_value, new.unit)
         body.append([key.quantity, _describe_key(key), size, before, old.form, after, new.form])
     if not body:
         return "Nothing was mended between two files of results."
